Close peers that bring no whole request within 3 s of connecting

Silent peers kept their connection for 60 s, unfinished bodies for 5 s. The head of a request now has 2.2 s (idle clients are owed 2 s), its body 0.5 s.

--- a/src/bin/foldtrack/clients.rs
+++ b/src/bin/foldtrack/clients.rs
@@ -14,16 +14,19 @@
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::TcpListener;
 use tokio::sync::{oneshot, watch, Semaphore};
 use tokio::time::{sleep, timeout};
 
 const LONGEST_BODY: usize = 64 * 1024;
 /// Bytes that a connection buffers at most.
 const BUFFER: usize = 64 * 1024;
-/// A client that does not finish its request within this span has gone; so long may a connection stand idle.
-const BODY_WAIT: Duration = Duration::from_secs(5);
-const IDLE: Duration = Duration::from_secs(60);
+/// So long may a connection bring no whole head of a request: idle clients are owed 2 s, and a peer that does
+/// not speak the protocol an end within 3 s of connecting, the time for a body included.
+const HEAD_WAIT: Duration = Duration::from_millis(2200);
+/// A client that does not finish its request within this span has gone: it waits 400 ms for its answer.
+const BODY_WAIT: Duration = Duration::from_millis(500);
 /// Pause after a connection could not be accepted, for want of descriptors say.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -52,7 +55,9 @@
             (Ok(place), Ok((stream, _))) => {
                 let desk = desk.clone();
                 tokio::spawn(async move {
-                    connection(stream, desk).await;
+                    if stream.set_nodelay(true).is_ok() {
+                        connection(stream, desk).await;
+                    }
                     drop(place);
                 });
             }
@@ -61,10 +66,7 @@
     }
 }
 
-async fn connection(stream: TcpStream, desk: Arc<Desk>) {
-    if stream.set_nodelay(true).is_err() {
-        return;
-    }
+async fn connection(stream: impl AsyncRead + AsyncWrite + Unpin, desk: Arc<Desk>) {
     let mut stage = desk.stage.clone();
     let service = service_fn(|request| {
         let desk = desk.clone();
@@ -73,7 +75,7 @@
     let serving = http1::Builder::new()
         .max_buf_size(BUFFER)
         .timer(TokioTimer::new())
-        .header_read_timeout(IDLE)
+        .header_read_timeout(HEAD_WAIT)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(serving);
     // Errors are the client's: it has gone, or does not speak HTTP. A request that has come is read before the
@@ -181,3 +183,7 @@
     let number = pairs.find(|(name, _)| name.trim() == "dest")?.1.trim().parse::<f64>().ok()?;
     (number.fract() == 0.0 && (0.0..=f64::from(u32::MAX)).contains(&number)).then_some(number as u32)
 }
+
+#[cfg(test)]
+#[path = "clients_tests.rs"]
+mod tests;
--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -49,7 +49,7 @@
     /// The count starts here, so that times before the start can be named too.
     const BASE: Micros = 1 << 40;
 
-    fn new() -> Clock {
+    pub fn new() -> Clock {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Clock { start: Instant::now(), unix_start: unix.as_micros() as Micros }
     }
