--- a/src/bin/foldtrack/main.rs
+++ b/src/bin/foldtrack/main.rs
@@ -7,6 +7,7 @@
 mod journal;
 mod node;
 mod platform;
+mod tally;
 mod targets;
 
 use config::Config;
--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -5,6 +5,7 @@
 use crate::config::Config;
 use crate::journal::{Accepted, Fate, Journal, Notice, Record, Restored};
 use crate::platform::{self, ServerList, ServerState};
+use crate::tally::{Standing, Tally};
 use crate::targets::{self, Call, CallEnd, IdleConnections};
 use bytes::Bytes;
 use hatchline::settings::Parsed;
@@ -230,6 +231,7 @@
     calls: BTreeMap<(u64, u32), oneshot::Sender<()>>,
     idle: IdleConnections,
     swept: Instant,
+    tally: Tally,
     target_ids: HashMap<String, TargetId>,
     servers: Vec<Server>,
     timers: BTreeSet<(Micros, u32)>,
@@ -271,6 +273,7 @@
         calls: BTreeMap::new(),
         idle: IdleConnections::new(conn_idle, config.sockets / 4),
         swept: Instant::now(),
+        tally: Tally::default(),
         target_ids: HashMap::new(),
         servers: Vec::new(),
         timers: BTreeSet::new(),
@@ -307,6 +310,7 @@
 impl Node {
     /// Takes in all that has happened, lets the module decide once, and carries out what it says.
     fn round(&mut self, batch: &mut Vec<Input>) {
+        let begun = self.clock.now();
         for input in batch.drain(..) {
             self.take_in(input);
         }
@@ -323,9 +327,18 @@
         self.answer_clients();
         self.report_notices();
         self.step_down();
+        self.tally.longest_round = self.tally.longest_round.max(self.clock.now() - begun);
         if self.swept.elapsed() > SWEEP {
             self.swept = Instant::now();
             self.idle.sweep();
+            let line = self.tally.line(&Standing {
+                held: self.messages.len(),
+                waiting: self.messages.values().filter(|h| h.waiting.is_some()).count(),
+                calls: self.calls.len(),
+                idle: self.idle.count(),
+                notices: self.notices.len(),
+            });
+            line.into_iter().for_each(|line| eprintln!("{line}"));
         }
     }
 
@@ -437,6 +450,7 @@
     fn hand_in(&mut self, message: Arc<Message>, reply: oneshot::Sender<Answer>) {
         let full = self.messages.len() >= self.settings.settings.max_held as usize;
         if full || !self.journal.has_room(message.size()) {
+            self.tally.refused += 1;
             let _ = reply.send(Answer::Refused { retry_in_ms: 0 });
             return;
         }
@@ -485,6 +499,7 @@
     /// The client has its answer, and the message may go; or it has gone before, and nothing is taken on.
     fn answered(&mut self, number: u64, written: bool) {
         if !written {
+            self.tally.gone += 1;
             self.record(number, &Record::Over);
             self.notices.remove(&number);
             self.unsent.remove(&number);
@@ -492,6 +507,7 @@
         }
         let Some(held) = self.messages.get_mut(&number) else { return };
         held.taken = Taken::On;
+        self.tally.taken += 1;
         self.send(number);
     }
 
@@ -578,6 +594,8 @@
             eprintln!("journal: a call is not made: {error}");
             return self.outcome(number, attempt, target, Outcome::NotSent, false);
         }
+        let connection = self.idle.take(target);
+        self.tally.dialled += u32::from(connection.is_none());
         let (cancel, cancelled) = oneshot::channel();
         self.calls.insert((number, attempt), cancel);
         let call = Call {
@@ -588,7 +606,7 @@
             message,
             dial_timeout: Duration::from_micros(self.settings.settings.connect_timeout),
             until: self.clock.instant(until),
-            connection: self.idle.take(target),
+            connection,
             reports: self.settings.rate_at.is_some() && self.settings.share_left_at.is_some(),
         };
         tokio::spawn(targets::call(call, cancelled, self.inputs.clone()));
@@ -600,6 +618,7 @@
 
     fn call_ended(&mut self, end: CallEnd) {
         self.calls.remove(&(end.number, end.attempt));
+        self.tally.ended(end.outcome, end.idle_for);
         if let Some(connection) = end.connection {
             self.idle.put(end.target, connection);
         }
@@ -640,9 +659,14 @@
         let Some(held) = self.messages.remove(&number) else { return };
         if let Taken::Fresh(reply) = held.taken {
             let retry_in_ms = if let Notice::HandedBack { retry_in_ms } = notice { retry_in_ms } else { 0 };
+            self.tally.refused += 1;
             let _ = reply.send(Answer::Refused { retry_in_ms });
             return;
         }
+        match notice {
+            Notice::GivenUp => self.tally.given_up += 1,
+            Notice::HandedBack { .. } => self.tally.handed_back += 1,
+        }
         self.record(number, &Record::Noticed(notice));
         let ending = Ending { id: held.message.id.clone(), order_key: held.message.order_key(), notice };
         self.notices.insert(number, ending);
--- /dev/null
+++ b/src/bin/foldtrack/tally.rs
@@ -0,0 +1,122 @@
+//! What the forwarder has done of late, in one line of the log a second at most: where the slots and the room
+//! are, how calls ended, and how far behind the loop and the notices are.
+
+use hatchline::{Micros, Outcome};
+use std::fmt::Write;
+use std::time::Duration;
+
+/// Counts since the last line.
+#[derive(Debug, Default)]
+pub(crate) struct Tally {
+    pub taken: u32,
+    pub refused: u32,
+    pub handed_back: u32,
+    pub given_up: u32,
+    /// Clients that went before their answer was written.
+    pub gone: u32,
+    /// Calls by their outcome.
+    ended: [u32; 8],
+    /// Resets of connections that had stood idle, the shortest such span, and the longest that did no harm.
+    stale: u32,
+    stale_from: Option<Duration>,
+    sound_to: Duration,
+    pub dialled: u32,
+    /// Longest time that one round took.
+    pub longest_round: Micros,
+}
+
+/// Where things stand when the line is written.
+pub(crate) struct Standing {
+    pub held: usize,
+    pub waiting: usize,
+    pub calls: usize,
+    pub idle: usize,
+    pub notices: usize,
+}
+
+const NAMES: [&str; 8] =
+    ["ok", "error", "full", "timed out", "no connection", "reset", "cancelled", "not sent"];
+
+fn place(outcome: Outcome) -> usize {
+    match outcome {
+        Outcome::Ok => 0,
+        Outcome::Error => 1,
+        Outcome::Full => 2,
+        Outcome::TimedOut => 3,
+        Outcome::ConnectFailed => 4,
+        Outcome::Reset => 5,
+        Outcome::Cancelled => 6,
+        Outcome::NotSent => 7,
+    }
+}
+
+impl Tally {
+    pub fn ended(&mut self, outcome: Outcome, idle_for: Option<Duration>) {
+        self.ended[place(outcome)] += 1;
+        let Some(span) = idle_for else { return };
+        match outcome {
+            Outcome::Reset => {
+                self.stale += 1;
+                self.stale_from = Some(self.stale_from.map_or(span, |s| s.min(span)));
+            }
+            Outcome::Ok => self.sound_to = self.sound_to.max(span),
+            _ => {}
+        }
+    }
+
+    /// The line, and a fresh count; nothing for a span in which nothing happened.
+    pub fn line(&mut self, s: &Standing) -> Option<String> {
+        let t = std::mem::take(self);
+        let idle = t.taken + t.refused + t.handed_back + t.given_up + t.ended.iter().sum::<u32>() == 0;
+        if idle && s.held == 0 && s.notices == 0 {
+            return None;
+        }
+        let mut text = format!(
+            "taken {} refused {} gone {}; handed back {} given up {}; calls",
+            t.taken, t.refused, t.gone, t.handed_back, t.given_up
+        );
+        for (name, count) in NAMES.iter().zip(t.ended).filter(|(_, count)| *count > 0) {
+            let _ = write!(text, " {name} {count},");
+        }
+        let _ = write!(
+            text,
+            " dialled {}, stale {} (idle for {:?} or more, sound to {:?}); held {} waiting {} calls out {} \
+             idle connections {} notices {}; longest round {} us",
+            t.dialled,
+            t.stale,
+            t.stale_from.unwrap_or_default(),
+            t.sound_to,
+            s.held,
+            s.waiting,
+            s.calls,
+            s.idle,
+            s.notices,
+            t.longest_round
+        );
+        Some(text)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_line_tells_what_happened_since_the_last_and_a_quiet_span_has_none() {
+        let quiet = Standing { held: 0, waiting: 0, calls: 0, idle: 3, notices: 0 };
+        let mut tally = Tally { taken: 2, ..Tally::default() };
+        tally.ended(Outcome::Reset, None);
+        tally.ended(Outcome::Reset, Some(Duration::from_millis(700)));
+        let line = tally.line(&quiet).expect("something happened");
+        assert!(
+            line.contains("taken 2")
+                && line.contains("reset 2,")
+                && line.contains("stale 1 (idle for 700ms")
+                && !line.contains("ok"),
+            "{line}"
+        );
+        assert_eq!(tally.line(&quiet), None);
+        let stuck = Standing { held: 1, ..quiet };
+        assert!(tally.line(&stuck).is_some_and(|l| l.contains("held 1")));
+    }
+}
--- a/src/bin/foldtrack/targets.rs
+++ b/src/bin/foldtrack/targets.rs
@@ -93,21 +93,26 @@
         IdleConnections { by_target: BTreeMap::new(), longest: conn_idle - margin, most }
     }
 
-    pub fn take(&mut self, target: TargetId) -> Option<Connection> {
+    pub fn take(&mut self, target: TargetId) -> Option<(Duration, Connection)> {
         self.sweep();
         let idle = self.by_target.get_mut(&target)?;
         let last = idle.iter().rposition(|(_, c)| c.is_usable())?;
-        Some(idle.remove(last).1)
+        let (since, connection) = idle.remove(last);
+        Some((since.elapsed(), connection))
     }
 
     pub fn put(&mut self, target: TargetId, connection: Connection) {
         self.by_target.entry(target).or_default().push((Instant::now(), connection));
-        if self.by_target.values().map(Vec::len).sum::<usize>() > self.most {
+        if self.count() > self.most {
             let oldest = self.by_target.values_mut().filter(|v| !v.is_empty()).min_by_key(|v| v[0].0);
             oldest.map(|v| v.remove(0));
         }
     }
 
+    pub fn count(&self) -> usize {
+        self.by_target.values().map(Vec::len).sum()
+    }
+
     pub fn close(&mut self, target: TargetId) {
         self.by_target.remove(&target);
     }
@@ -131,8 +136,8 @@
     pub message: Arc<Message>,
     pub dial_timeout: Duration,
     pub until: Instant,
-    /// One that stood idle.
-    pub connection: Option<Connection>,
+    /// One that stood idle, and for how long.
+    pub connection: Option<(Duration, Connection)>,
     /// Answers told as limit reports.
     pub reports: bool,
 }
@@ -147,6 +152,8 @@
     pub outcome: Outcome,
     /// The answer says that nothing is owed for the message any more.
     pub over: bool,
+    /// How long its connection had stood idle before, if it did.
+    pub idle_for: Option<Duration>,
     /// Nothing is to be sent to the destination until then.
     pub wait_until: Option<Instant>,
     pub report: Option<LimitReport>,
@@ -163,17 +170,19 @@
         begun: Instant::now(),
         outcome: Outcome::ConnectFailed,
         over: false,
+        idle_for: None,
         wait_until: None,
         report: None,
         connection: None,
     };
     let Call { message, connection: idle, until, dial_timeout, address, reports, .. } = call;
+    end.idle_for = idle.as_ref().map(|(idle_for, _)| *idle_for);
     let reused = idle.is_some();
     // From when the request is with the connection only an answer proves that it has not run.
     let mut handed_over = false;
     let exchange = async {
         let mut connection = match idle {
-            Some(connection) => connection,
+            Some((_, connection)) => connection,
             None => match timeout(dial_timeout, Connection::open(address)).await {
                 Ok(Ok(connection)) => connection,
                 _ => return Err(Outcome::ConnectFailed),
