--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -618,7 +618,7 @@
 
     fn call_ended(&mut self, end: CallEnd) {
         self.calls.remove(&(end.number, end.attempt));
-        self.tally.ended(end.outcome, end.idle_for);
+        self.tally.ended(end.outcome, end.begun.elapsed(), end.idle_for);
         if let Some(connection) = end.connection {
             self.idle.put(end.target, connection);
         }
--- a/src/bin/foldtrack/tally.rs
+++ b/src/bin/foldtrack/tally.rs
@@ -14,8 +14,9 @@
     pub given_up: u32,
     /// Clients that went before their answer was written.
     pub gone: u32,
-    /// Calls by their outcome.
+    /// Calls by their outcome, and for how long they held their slots.
     ended: [u32; 8],
+    busy: [Duration; 8],
     /// Resets of connections that had stood idle, the shortest such span, and the longest that did no harm.
     stale: u32,
     stale_from: Option<Duration>,
@@ -51,8 +52,9 @@
 }
 
 impl Tally {
-    pub fn ended(&mut self, outcome: Outcome, idle_for: Option<Duration>) {
+    pub fn ended(&mut self, outcome: Outcome, took: Duration, idle_for: Option<Duration>) {
         self.ended[place(outcome)] += 1;
+        self.busy[place(outcome)] += took;
         let Some(span) = idle_for else { return };
         match outcome {
             Outcome::Reset => {
@@ -75,8 +77,8 @@
             "taken {} refused {} gone {}; handed back {} given up {}; calls",
             t.taken, t.refused, t.gone, t.handed_back, t.given_up
         );
-        for (name, count) in NAMES.iter().zip(t.ended).filter(|(_, count)| *count > 0) {
-            let _ = write!(text, " {name} {count},");
+        for (i, name) in NAMES.iter().enumerate().filter(|(i, _)| t.ended[*i] > 0) {
+            let _ = write!(text, " {name} {} ({} ms),", t.ended[i], t.busy[i].as_millis());
         }
         let _ = write!(
             text,
@@ -105,14 +107,14 @@
     fn a_line_tells_what_happened_since_the_last_and_a_quiet_span_has_none() {
         let quiet = Standing { held: 0, waiting: 0, calls: 0, idle: 3, notices: 0 };
         let mut tally = Tally { taken: 2, ..Tally::default() };
-        tally.ended(Outcome::Reset, None);
-        tally.ended(Outcome::Reset, Some(Duration::from_millis(700)));
+        tally.ended(Outcome::Reset, Duration::from_millis(30), None);
+        tally.ended(Outcome::Reset, Duration::from_millis(5), Some(Duration::from_millis(700)));
         let line = tally.line(&quiet).expect("something happened");
         assert!(
             line.contains("taken 2")
-                && line.contains("reset 2,")
+                && line.contains("reset 2 (35 ms),")
                 && line.contains("stale 1 (idle for 700ms")
-                && !line.contains("ok"),
+                && !line.contains("ok "),
             "{line}"
         );
         assert_eq!(tally.line(&quiet), None);
