A trial spent on a withdrawn message no longer keeps a destination shut

A call that ends as not sent (410: the message is over) told nothing, yet it counted as the trial of a destination that looks out and lengthened its back-off. With withdrawn messages at the head of the queue the next trials, up to 1.5 s apart, met them too, and the destination stayed shut long after it had recovered. Such a call now frees the next trial at once, undoes the back-off and gives its token back.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -45,6 +45,8 @@
 /// Factors on the learned pause when a retry after a refusal is served, and when it is refused again.
 const SPREAD_DOWN: f64 = 0.8;
 const SPREAD_UP: f64 = 1.5;
+/// What each trial of a destination that looks out multiplies the span to the next by.
+const TRIAL_BACKOFF: f64 = 1.3;
 /// Part of the multiple that would push a cold destination over which all senders together may use.
 const RAMP_CAUTION: f64 = 0.6;
 
@@ -447,10 +449,12 @@
                 c.messages.is_empty()
             });
             if done {
-                l.calls.remove(&call);
+                let trial = l.calls.remove(&call).is_some_and(|c| c.trial);
                 self.calls_out -= 1;
-                if !matches!(outcome, Outcome::NotSent | Outcome::Cancelled) {
-                    self.judge(lane, target, &end);
+                match outcome {
+                    Outcome::NotSent => l.not_sent(trial, self.now + self.s.tick),
+                    Outcome::Cancelled => {}
+                    _ => self.judge(lane, target, &end),
                 }
             }
         }
@@ -761,7 +765,7 @@
             l.calls.insert(self.next_call, Call { target, sent: self.now, trial, ..Call::default() });
             if let Gate::Out { backoff, .. } = l.gate {
                 let next = self.now + (backoff.max(gap) * jitter) as Micros;
-                l.gate = Gate::Out { next, backoff: (backoff * 1.3).min(longest) };
+                l.gate = Gate::Out { next, backoff: (backoff * TRIAL_BACKOFF).min(longest) };
             }
             self.next_call
         });
@@ -917,6 +921,14 @@
         due
     }
 
+    /// A call that was not sent, its message over say, tells nothing and takes nothing: it was no trial.
+    fn not_sent(&mut self, trial: bool, again: Micros) {
+        self.tokens += 1.0;
+        if let (true, Gate::Out { next, backoff }) = (trial, self.gate) {
+            self.gate = Gate::Out { next: next.min(again), backoff: backoff / TRIAL_BACKOFF };
+        }
+    }
+
     /// A known limit starts the pace at an even part, where that is more than chance brings within an aim.
     fn limit_is(&mut self, rate: f64, senders: u32, aim: f64) {
         if self.limit <= 0.0 {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -297,3 +297,22 @@
     }
     assert!(!out.iter().any(|a| matches!(a, Action::Send { .. })), "{out:?}");
 }
+
+/// A day of resets: of what was held for a destination that looked out, the oldest had been withdrawn by its
+/// clients, and each trial was spent on one of those, which tells nothing. It never opened again.
+#[test]
+fn trials_are_not_used_up_by_messages_that_were_withdrawn() {
+    let mut field = warmed(settings(vec![class(Effect::Repeatable)]), vec![endpoint(1, 1)], 0);
+    let withdrawn: Vec<_> = (0..80).map(|_| field.request(0, 1, 0)).collect();
+    field.run(2 * S, |now, _, a| (now >= a.at + 10 * MS).then_some((Outcome::ConnectFailed, 0)));
+    for id in withdrawn {
+        if field.mail[&id].over.is_none() {
+            field.withdraw(id);
+        }
+    }
+    assert!(field.mail.values().filter(|m| !m.served && !m.refused).count() > 40, "too few were held");
+    let wanted: Vec<_> = (0..5).map(|_| field.request(0, 1, 0)).collect();
+    field.run(6 * S, serves(80 * MS));
+    assert!(wanted.iter().all(|id| field.mail[id].served), "a destination that answers stayed shut");
+    field.kept();
+}
