Take on no request that is not of the protocol's form

Peers sent requests with a query or a path beyond the class, to destination 70000, and with a chunked body that hid what follows. They were taken on and called with; endpoints answered 400 at once, which counted as the destination's failures: healthy destinations were shut, above all those of zeelandlijn. Such requests now get 4xx, and a connection closes after any 4xx.

--- a/src/bin/foldtrack/clients.rs
+++ b/src/bin/foldtrack/clients.rs
@@ -6,7 +6,7 @@
 use hatchline::{Effect, Micros};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER};
+use hyper::header::{HeaderValue, CONNECTION, CONTENT_LENGTH, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -20,6 +20,8 @@
 use tokio::time::{sleep, timeout};
 
 const LONGEST_BODY: usize = 64 * 1024;
+/// The list numbers destinations in 16 bits: a message for a higher number could never go anywhere.
+const LAST_DESTINATION: f64 = u16::MAX as f64;
 /// Bytes that a connection buffers at most.
 const BUFFER: usize = 64 * 1024;
 /// So long may a connection bring no whole head of a request: idle clients are owed 2 s, and a peer that does
@@ -99,7 +101,8 @@
         (&Method::GET, "/healthz") => plain(StatusCode::OK),
         _ => hand_in(request, desk).await.unwrap_or_else(plain),
     };
-    if *desk.stage.borrow() != Stage::Serving {
+    // A peer that does not speak the protocol keeps no place either.
+    if *desk.stage.borrow() != Stage::Serving || response.status().is_client_error() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
@@ -132,7 +135,7 @@
     const BAD: StatusCode = StatusCode::BAD_REQUEST;
     // The client's time runs since it sent: what the body takes to come counts.
     let now = desk.clock.now();
-    let path = request.uri().path().trim_start_matches('/');
+    let path = request.uri().path().strip_prefix('/').unwrap_or_default();
     let (class_name, key) = path.split_once('/').unwrap_or((path, ""));
     let known = desk.settings.class_names.iter().position(|n| n == class_name);
     let class = known.ok_or(StatusCode::NOT_FOUND)?;
@@ -140,7 +143,11 @@
         return Err(StatusCode::METHOD_NOT_ALLOWED);
     }
     let rules = &desk.settings.settings.classes[class];
-    let key = if rules.in_order { key.rsplit('/').next().unwrap_or("").to_string() } else { String::new() };
+    // Only a class in order has a key in its path, none has a query: a peer that adds them is no client.
+    if !(rules.in_order || key.is_empty()) || request.uri().query().is_some() {
+        return Err(StatusCode::NOT_FOUND);
+    }
+    let key = key.rsplit('/').next().unwrap_or("").to_string();
     let header = |name: &str| -> Result<Option<String>, StatusCode> {
         let Some(value) = request.headers().get(name) else { return Ok(None) };
         Ok(Some(value.to_str().map_err(|_| BAD)?.trim().to_string()))
@@ -153,6 +160,10 @@
         return Err(BAD);
     }
     let retry = header("X-Retry")?;
+    // Where a body ends must be beyond doubt: what a peer hides behind it would pass for a request.
+    if !request.headers().contains_key(CONTENT_LENGTH) {
+        return Err(StatusCode::LENGTH_REQUIRED);
+    }
     if request.body().size_hint().lower() > LONGEST_BODY as u64 {
         return Err(StatusCode::PAYLOAD_TOO_LARGE);
     }
@@ -181,7 +192,7 @@
 fn destination(text: &str) -> Option<u32> {
     let mut pairs = text.split(',').filter_map(|pair| pair.split_once('='));
     let number = pairs.find(|(name, _)| name.trim() == "dest")?.1.trim().parse::<f64>().ok()?;
-    (number.fract() == 0.0 && (0.0..=f64::from(u32::MAX)).contains(&number)).then_some(number as u32)
+    (number.fract() == 0.0 && (0.0..=LAST_DESTINATION).contains(&number)).then_some(number as u32)
 }
 
 #[cfg(test)]
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -59,6 +59,26 @@
     assert!(forwarder.is_running());
 }
 
+/// Found on r3546: such peers had messages taken on, whose answers as errors shut the destinations they named.
+#[test]
+fn what_no_client_would_send_reaches_no_endpoint() {
+    let (target, _platform, mut forwarder) = one_target(|_| OK);
+    let text = String::from_utf8(fee("m1").bytes()).unwrap();
+    let status =
+        |text: String| forwarder.exchange(text.as_bytes()).split(' ').nth(1).unwrap_or("").to_string();
+    assert_eq!(status(text.replace("/fee", "/fee/7f3a")), "404");
+    assert_eq!(status(text.replace("/fee", "/fee?v=7f3a")), "404");
+    assert_eq!(status(text.replace("dest=1", "dest=70000")), "400");
+    let chunked = "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n";
+    assert_eq!(status(text.replace("Content-Length: 1\r\n\r\nx", chunked)), "411");
+    let hidden = format!("Transfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n0\r\n\r\n{text}");
+    let answers = forwarder.exchange(text.replace("Content-Length: 1\r\n\r\nx", &hidden).as_bytes());
+    assert_eq!(answers.matches("HTTP/1.1").count(), 1, "{answers}");
+    assert_eq!(forwarder.hand_in(&fee("m2")), 202);
+    eventually("the call", || target.ids() == ["m2"]);
+    assert!(forwarder.is_running());
+}
+
 #[test]
 fn a_key_goes_one_at_a_time_and_in_order() {
     let (target, _platform, forwarder) = one_target(|_| Reply::Later(MS(150), 200));
