SIGHUP moves discovery to the address in the configuration file

The signal had no handler and ended the process, which counts as a crash. The file is read again; the watch starts anew at the new address with the whole list, and notices that the old one did not take go there. The address now always comes from the file: the environment keeps the one of the first start.

--- a/src/bin/foldtrack/config.rs
+++ b/src/bin/foldtrack/config.rs
@@ -49,11 +49,22 @@
     }
 }
 
+/// The file as it is now, and its path.
+fn read_file() -> Result<(String, ConfigFile), String> {
+    let path = variable("BALANCER_CONFIG")?;
+    let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
+    let file = serde_json::from_slice(&text).map_err(|e| format!("{path}: {e}"))?;
+    Ok((path, file))
+}
+
 impl Config {
+    /// Where discovery is by the file, which may have been replaced since the start.
+    pub fn discovery_now() -> Result<SocketAddr, String> {
+        Ok(read_file()?.1.discovery)
+    }
+
     pub fn load() -> Result<Config, String> {
-        let path = variable("BALANCER_CONFIG")?;
-        let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
-        let file: ConfigFile = serde_json::from_slice(&text).map_err(|e| format!("{path}: {e}"))?;
+        let (path, file) = read_file()?;
         let disk_bytes = file.limits.disk_mb * 1e6;
         if !(disk_bytes.is_finite() && disk_bytes > 0.0) {
             return Err(format!("{path}: limits.disk_mb is no room"));
@@ -63,7 +74,8 @@
         }
         Ok(Config {
             listen: address("BALANCER_LISTEN", file.listen)?,
-            discovery: address("BALANCER_DISCOVERY", file.discovery)?,
+            // The environment keeps the address of the first start; the file may be newer.
+            discovery: file.discovery,
             state: PathBuf::from(variable("BALANCER_STATE")?),
             seed: u64::from_str_radix(&file.seed, 16)
                 .map_err(|e| format!("{path}: seed {:?}: {e}", file.seed))?,
--- a/src/bin/foldtrack/main.rs
+++ b/src/bin/foldtrack/main.rs
@@ -24,6 +24,16 @@
             to_node.send(Input::Terminate);
         }
     });
+    let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
+    let to_node = inputs.clone();
+    tokio::spawn(async move {
+        while hangup.recv().await.is_some() {
+            match Config::discovery_now() {
+                Ok(address) => to_node.send(Input::Discovery(address)),
+                Err(error) => eprintln!("foldtrack: discovery stays where it is: {error}"),
+            }
+        }
+    });
     let (listen, state) = (config.listen, config.state.clone());
     let end = node::run(config, inputs, receiver).await;
     end.map_err(|e| format!("listening on {listen} with the state in {}: {e}", state.display()))
--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -157,6 +157,8 @@
         numbers: Vec<u64>,
         status: Option<StatusCode>,
     },
+    /// Discovery is found there from now on.
+    Discovery(SocketAddr),
     Terminate,
 }
 
@@ -216,7 +218,7 @@
     settings: Arc<Parsed>,
     journal: Journal,
     inputs: Inputs,
-    discovery: SocketAddr,
+    discovery: watch::Sender<SocketAddr>,
     next_number: u64,
     /// What is taken on, or may be, by number in the order of arrival.
     messages: BTreeMap<u64, Held>,
@@ -255,6 +257,7 @@
     let max_attempts = settings.settings.max_attempts;
     let (journal, restored) = Journal::open(&config.state, config.disk_bytes, max_attempts)?;
     let (stage, stage_seen) = watch::channel(Stage::Serving);
+    let (discovery, discovery_seen) = watch::channel(config.discovery);
     let conn_idle = Duration::from_micros(settings.settings.connection_idle);
     let mut node = Node {
         clock,
@@ -262,7 +265,7 @@
         settings: settings.clone(),
         journal,
         inputs: inputs.clone(),
-        discovery: config.discovery,
+        discovery,
         next_number: restored.last_key_value().map_or(1, |(number, _)| number + 1),
         messages: BTreeMap::new(),
         fresh: Vec::new(),
@@ -285,7 +288,7 @@
     for (number, message) in restored {
         node.restore(number, message);
     }
-    tokio::spawn(platform::watch(config.discovery, inputs.clone()));
+    tokio::spawn(platform::watch(discovery_seen, inputs.clone()));
     let mut batch = Vec::new();
     // What the configuration knows may be old: a target that this forwarder was told of as drained, before it
     // restarted, would get what it held. The agent answers at once, or discovery is down.
@@ -356,6 +359,12 @@
                 self.list(list, kind);
             }
             Input::Reported { numbers, status } => self.reported(numbers, status),
+            Input::Discovery(address) => {
+                eprintln!("discovery is at {address} from now on");
+                self.discovery.send_replace(address);
+                // What the old address did not take goes to the new one at once.
+                self.reports_from = 0;
+            }
             Input::Terminate => {
                 if self.terminated.is_none() {
                     self.terminated = Some(Instant::now());
@@ -690,7 +699,8 @@
                 lines.push_str(&format!("{line}\n"));
             }
             self.reports_out += 1;
-            tokio::spawn(platform::report(self.discovery, lines, numbers, self.inputs.clone()));
+            let discovery = *self.discovery.borrow();
+            tokio::spawn(platform::report(discovery, lines, numbers, self.inputs.clone()));
         }
     }
 
--- a/src/bin/foldtrack/platform.rs
+++ b/src/bin/foldtrack/platform.rs
@@ -10,6 +10,7 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout, Instant};
 
 /// How long a watch may stay without news, and how much later its answer may come.
@@ -84,8 +85,19 @@
     Request::get(path).header(HOST, address.to_string()).body(Full::default()).ok()
 }
 
-/// Watches the list for as long as the process runs.
-pub(crate) async fn watch(address: SocketAddr, inputs: Inputs) {
+/// Watches the list for as long as the process runs, wherever discovery is.
+pub(crate) async fn watch(mut discovery: watch::Receiver<SocketAddr>, inputs: Inputs) {
+    loop {
+        let address = *discovery.borrow_and_update();
+        tokio::select! {
+            () = watch_at(address, inputs.clone()) => return,
+            moved = discovery.changed() => if moved.is_err() { return },
+        }
+    }
+}
+
+/// Watches the list at one address, from the whole list on: another agent's answers need not go on from the last.
+async fn watch_at(address: SocketAddr, inputs: Inputs) {
     let mut connection = None;
     let mut version: Option<u64> = None;
     let mut pause = FIRST_PAUSE;
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -490,6 +490,33 @@
     assert_ne!(seen[0].connection, seen[1].connection);
 }
 
+/// Lists and notices are to be had at the new address only, also by the process that comes after.
+#[test]
+fn sighup_moves_discovery_to_the_address_in_the_file() {
+    let (old, new) = (Server::start(|_| OK), Server::start(|_| OK));
+    let before = Platform::start(vec![line("s-1", old.address, 1, "active")]);
+    let mut forwarder = Forwarder::start(&before);
+    eventually("the first list", || before.has_told());
+    let after =
+        Platform::start(vec![line("s-1", old.address, 1, "leaving"), line("s-2", new.address, 1, "active")]);
+    before.server.behave(|_| Reply::Close);
+    forwarder.reload(&after);
+    eventually("the list of the new address", || after.has_told());
+    assert_eq!(forwarder.hand_in(&fee("m1")), 202);
+    eventually("the call", || new.ids() == ["m1"]);
+    assert!(old.seen().is_empty());
+    new.behave(|_| Reply::Status(500, ""));
+    assert_eq!(forwarder.hand_in(&fee("m2")), 202);
+    eventually("the notice", || after.has("m2", "given_up"));
+    assert!(forwarder.is_running());
+    new.behave(|_| OK);
+    forwarder.kill();
+    forwarder.start_again();
+    assert_eq!(forwarder.hand_in(&fee("m3")), 202);
+    eventually("the call after a restart", || new.ids().contains(&"m3".to_string()));
+    assert!(before.notices().is_empty());
+}
+
 #[test]
 fn a_line_of_the_list_that_cannot_be_read_hides_no_other() {
     let target = Server::start(|_| OK);
--- a/tests/forwarder/world.rs
+++ b/tests/forwarder/world.rs
@@ -329,6 +329,17 @@
         files.filter_map(|f| Some(f.ok()?.metadata().ok()?.len().div_ceil(512) * 512)).sum()
     }
 
+    /// Replaces the configuration file by one that finds discovery elsewhere, and says so.
+    pub fn reload(&self, platform: &Platform) {
+        let path = self.folder.path().join("config.json");
+        let mut config: Value = serde_json::from_slice(&std::fs::read(&path).unwrap()).unwrap();
+        config["discovery"] = platform.server.address.to_string().into();
+        let new = path.with_extension("new");
+        std::fs::write(&new, config.to_string()).unwrap();
+        std::fs::rename(&new, &path).unwrap();
+        self.signal("HUP");
+    }
+
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args(["-s", name, &pid]).status().unwrap().success());
