--- a/src/bin/foldtrack/clients_tests.rs
+++ b/src/bin/foldtrack/clients_tests.rs
@@ -4,27 +4,41 @@
 use crate::node;
 use serde_json::json;
 use tokio::io::{duplex, AsyncReadExt, AsyncWriteExt, DuplexStream};
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::Instant;
 
 const OWED: Duration = Duration::from_secs(3);
 
-fn desk(stage: watch::Receiver<Stage>) -> Arc<Desk> {
+fn desk(stage: watch::Receiver<Stage>, inputs: Inputs) -> Arc<Desk> {
     let settings = json!({
         "balancers": 1,
         "categories": [{"name": "note", "aim": 3_000_000, "deadline": 16_000_000, "effect": "repeatable"}],
         "limits": {"max_open": 16, "try_limit": 6},
     });
     let settings = Arc::new(serde_json::from_value(settings).unwrap());
-    let (inputs, _) = node::channel();
     Arc::new(Desk { settings, clock: Clock::new(), inputs, stage })
 }
 
 /// A peer, and the stage of the forwarder it has connected to.
 fn connect() -> (DuplexStream, watch::Sender<Stage>) {
+    let (peer, stage, _) = connect_among(&Shared::default(), None);
+    (peer, stage)
+}
+
+/// The same with a place, among others; and the way to what the forwarder is handed.
+fn connect_among(
+    newcomers: &Shared<Newcomers>, place: Option<OwnedSemaphorePermit>,
+) -> (DuplexStream, watch::Sender<Stage>, UnboundedReceiver<Input>) {
     let (peer, ours) = duplex(1 << 20);
     let (stage, seen) = watch::channel(Stage::Serving);
-    tokio::spawn(connection(ours, desk(seen)));
-    (peer, stage)
+    let (inputs, receiver) = node::channel();
+    let newcomer = Newcomer::join(newcomers);
+    let desk = desk(seen, inputs);
+    tokio::spawn(async move {
+        connection(ours, desk, newcomer).await;
+        drop(place);
+    });
+    (peer, stage, receiver)
 }
 
 /// Reads until the connection ends; what came, and how long that took.
@@ -68,3 +82,32 @@
     assert!(answer.starts_with("HTTP/1.1 4"), "{answer}");
     assert!(late + took < OWED, "answered and closed after {:?}", late + took);
 }
+
+/// Found on r3546: silent peers held every place, and clients were accepted late or not at all.
+#[tokio::test(start_paused = true)]
+async fn silent_peers_make_room_but_a_client_that_has_handed_in_does_not() {
+    let (places, newcomers) = (Arc::new(Semaphore::new(3)), Shared::default());
+    let mut taken = Vec::new();
+    for _ in 0..3 {
+        let permit = place(&places, &newcomers).await;
+        taken.push(connect_among(&newcomers, permit));
+    }
+    let letter = b"POST /note HTTP/1.1\r\nHost: x\r\nX-Request-Id: m\r\nX-Deadline: 9000m\r\n\
+                   X-Consignee: dest=1\r\nContent-Length: 0\r\n\r\n";
+    let (client, _, inputs) = &mut taken[0];
+    client.write_all(letter).await.unwrap();
+    let handed_in = inputs.recv().await;
+    assert!(matches!(handed_in, Some(Input::HandIn { .. })));
+    let start = Instant::now();
+    let _first = place(&places, &newcomers).await;
+    assert!(start.elapsed() < Duration::from_millis(100), "waited {:?} for a place", start.elapsed());
+    let (_, took) = until_closed(&mut taken[1].0).await;
+    assert!(took.is_zero(), "the peer that was silent longest stayed for {took:?}");
+    let _second = place(&places, &newcomers).await;
+    let (_, took) = until_closed(&mut taken[2].0).await;
+    assert!(took.is_zero(), "the other silent peer stayed for {took:?}");
+    drop(handed_in);
+    let mut answer = [0; 12];
+    taken[0].0.read_exact(&mut answer).await.expect("the client has its answer");
+    assert_eq!(&answer, b"HTTP/1.1 503");
+}
