--- a/src/brain.rs
+++ b/src/brain.rs
@@ -660,20 +660,14 @@
         c.worth * share
     }
 
-    /// The most urgent of a queue's oldest and the oldest whose worth still falls: by what an aim more loses.
+    /// What a queue sends next, by its worth: the oldest that can still be in time, and where none can be the
+    /// newest. Oldest first would hand a backlog's delay on to all that comes after, in time by itself.
     fn candidate(&self, class: usize, set: &BTreeSet<(Micros, MessageId)>) -> Option<(f64, MessageId)> {
-        let c = &self.s.classes[class];
-        let floor = match self.s.decay {
-            Decay::Linear => c.deadline,
-            Decay::Halving => c.aim + (c.aim as f64 * -c.late_value.max(0.01).log2()) as Micros,
-        };
-        let falling = set.range((self.now.saturating_sub(floor), 0)..).next();
-        let both = set.first().into_iter().chain(falling);
-        let urgency = |born: Micros| {
-            let (age, aim) = (self.now.saturating_sub(born) as f64, c.aim as f64);
-            self.value(class, age) - self.value(class, age + aim) + 1e-6 * age / aim.max(1.0)
-        };
-        both.map(|(born, id)| (urgency(*born), *id)).max_by(|a, b| a.0.total_cmp(&b.0))
+        let aim = self.s.classes[class].aim;
+        let in_time = set.range((self.now.saturating_sub(aim), 0)..).next();
+        let (born, id) = in_time.or(set.last())?;
+        let age = self.now.saturating_sub(*born) as f64;
+        Some((self.value(class, age) + 1e-6 * age / aim.max(1) as f64, *id))
     }
 
     /// The best endpoint of a lane: not one that failed, few calls in flight, used lately.
@@ -693,7 +687,7 @@
         best.map(|(id, _)| *id)
     }
 
-    /// The best send for one destination now: urgency, message, lane, endpoint, trial.
+    /// The best send for one destination now: worth, message, lane, endpoint, trial.
     fn best_send(&mut self, dest: DestinationId) -> Option<Pick> {
         let d = self.destinations.get(&dest)?;
         let cap = ((f64::from(self.s.slots) * DESTINATION_SHARE) as u32).max(1);
@@ -716,8 +710,10 @@
         let worth = self.s.classes.iter().map(|c| c.worth).sum::<f64>() / self.s.classes.len() as f64;
         let mut best: Option<Pick> = None;
         for ((class, bound), set) in &d.ready {
-            let Some((urgency, id)) = self.candidate(*class, set) else { continue };
+            let Some((worth_now, id)) = self.candidate(*class, set) else { continue };
             let m = &self.messages[&id];
+            let (age, aim) = (self.now.saturating_sub(m.born) as f64, self.s.classes[*class].aim);
+            let urgency = self.value(*class, age) - self.value(*class, age + aim as f64);
             let unsafe_now = self.s.classes[*class].effect == Effect::Unsafe;
             let mut choice: Option<((f64, f64), usize, TargetId, bool)> = None;
             for (lane, trial) in &open {
@@ -725,7 +721,6 @@
                 // Unsafe messages are lost by an attempt without an answer: they stay away from what fails
                 // or is silent, but make a trial when nothing else has for an aim.
                 let risky = l.may_have_run && (*trial || l.failing > LOSSY);
-                let aim = self.s.classes[*class].aim;
                 let lately = l.failing > LOSSY && self.now < l.judged + aim;
                 if unsafe_now && risky && (self.now < m.born + aim || lately) {
                     continue;
@@ -743,7 +738,8 @@
                 }
             }
             if let Some((_, lane, target, trial)) = choice {
-                let rank = if trial && unsafe_now { urgency - self.s.classes[*class].worth } else { urgency };
+                let last = if trial && unsafe_now { self.s.classes[*class].worth } else { 0.0 };
+                let rank = worth_now - last;
                 if best.is_none_or(|b| rank > b.0) {
                     best = Some((rank, id, lane, target, trial));
                 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -121,5 +121,5 @@
 /// The messages of an order key, as they came, and until when the key rests.
 pub(crate) type Turns = (VecDeque<MessageId>, Micros);
 
-/// A send that could be made: its urgency, message, lane and endpoint, and whether it is a trial.
+/// A send that could be made: its worth, message, lane and endpoint, and whether it is a trial.
 pub(crate) type Pick = (f64, MessageId, usize, TargetId, bool);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -316,3 +316,28 @@
     assert!(wanted.iter().all(|id| field.mail[id].served), "a destination that answers stayed shut");
     field.kept();
 }
+
+/// r7582: a backlog of some seconds was served oldest first, so that all that came after was late too, for as
+/// long as messages came about as fast as they could be served.
+#[test]
+fn a_stale_backlog_does_not_make_later_messages_late() {
+    let mut field = warmed(settings(vec![class(Effect::Repeatable)]), vec![endpoint(1, 1)], 0);
+    for _ in 0..200 {
+        field.request(0, 1, 0);
+    }
+    field.run(3 * S, serves(300 * MS));
+    let later: Vec<_> = (0..100)
+        .map(|_| {
+            let id = field.request(0, 1, 0);
+            field.run(50 * MS, serves(300 * MS));
+            (id, field.now)
+        })
+        .collect();
+    field.run(20 * S, serves(300 * MS));
+    let aim = field.settings.classes[0].aim;
+    let mail = |id: &MessageId| &field.mail[id];
+    let in_time =
+        later.iter().filter(|(id, at)| mail(id).served && mail(id).over.unwrap() <= at + aim).count();
+    assert!(in_time >= 90, "{in_time} of 100 later messages were in time");
+    field.kept();
+}
