A denied connection no longer makes every later call open its own

Endpoints that once refused a connection counted as short of them for good: each call closed its connection after use. It is forgotten after the idle time, when what filled the table has been closed.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -566,9 +566,12 @@
             // One endpoint of several may be out alone: it rests while the others serve.
             let fails = outcome != Outcome::Ok && outcome != Outcome::Full && !planned;
             t.avoid_until = if fails { self.now + least_aim as Micros } else { 0 };
-            t.denied |= outcome == Outcome::ConnectFailed;
+            if outcome == Outcome::ConnectFailed {
+                // By then what stood idle in its table is closed.
+                t.denied_until = self.now + self.s.connection_idle;
+            }
             let last = outcome != Outcome::ConnectFailed && !l.calls.values().any(|c| c.target == target);
-            let close = last && (t.denied || seldom && outcome == Outcome::Ok);
+            let close = last && (t.denied_until > self.now || seldom && outcome == Outcome::Ok);
             self.out.extend(close.then_some(Action::CloseIdle { target }));
         }
         let ramps = matches!(self.lanes[lane].gate, Gate::Ramp { .. });
--- a/src/state.rs
+++ b/src/state.rs
@@ -72,8 +72,8 @@
     pub state: EndpointState,
     pub last_used: Micros,
     pub avoid_until: Micros,
-    /// It has turned a connection away.
-    pub denied: bool,
+    /// It has turned a connection away: its table counts as short until then.
+    pub denied_until: Micros,
 }
 
 /// A destination and what is held for it.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -251,6 +251,30 @@
     assert_eq!(closes(&seldom), 4, "kept though the next use is far");
 }
 
+/// After each crash of a partner, every call to it opened a connection of its own for the rest of the day.
+#[test]
+fn connections_are_kept_again_some_time_after_one_was_denied() {
+    let mut field = warmed(settings(vec![class(Effect::Repeatable)]), vec![endpoint(1, 1)], 0);
+    let id = field.request(0, 1, 0);
+    field.end(id, 0, Outcome::ConnectFailed, 0);
+    let calls = |field: &mut Field| {
+        for _ in 0..170 {
+            field.request(0, 1, 0);
+            field.run(100 * MS, serves(80 * MS));
+        }
+    };
+    calls(&mut field);
+    let before = field.trace.len();
+    calls(&mut field);
+    let closes = |(_, a): &&(u64, Action)| matches!(a, Action::CloseIdle { .. });
+    assert_eq!(
+        field.trace[before..].iter().filter(closes).count(),
+        0,
+        "closed though there is room for long"
+    );
+    field.kept();
+}
+
 /// A call that the end of the process cuts off may have run, which ends an unsafe message.
 #[test]
 fn no_call_is_started_that_the_end_of_the_process_would_cut_off() {
