Tell refused clients when to come back

Every refusal went out without advice though the settings allow it. The advice is the time until the destination takes calls and has served its queue, at most what clients heed; nothing is held back for it.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -329,8 +329,7 @@
         if self.messages.len() + room <= self.s.max_held as usize {
             return;
         }
-        let longest =
-            self.destinations.values().max_by_key(|d| d.ready.values().map(BTreeSet::len).sum::<usize>());
+        let longest = self.destinations.values().max_by_key(|d| d.queued());
         let oldest = longest.into_iter().flat_map(|d| &d.ready).filter_map(|((c, _), set)| {
             let (born, id) = set.first()?;
             Some((self.value(*c, self.now.saturating_sub(*born) as f64), *id))
@@ -395,11 +394,20 @@
     /// Ends a message that is not (or no longer) out: refused where that is true to the client, else failed.
     fn give_up(&mut self, id: MessageId) {
         let Some(m) = self.messages.get(&id).filter(|m| !m.over) else { return };
-        let refuse = self.allowed(m).2;
-        self.out.push(if refuse { Action::Refuse { id, retry_after: 0 } } else { Action::Fail { id } });
+        let (refuse, retry_after) = (self.allowed(m).2, self.advice(m.destination));
+        self.out.push(if refuse { Action::Refuse { id, retry_after } } else { Action::Fail { id } });
         self.finish(id);
     }
 
+    /// How long a client should stay away: until its destination takes calls and has served its queue.
+    fn advice(&self, destination: DestinationId) -> Micros {
+        let d = self.destinations.get(&destination).filter(|_| self.s.may_advise_wait);
+        let served_in = |l: &Lane, queued: usize| (queued as f64 / l.rate.max(1.0) * SECOND) as Micros;
+        let wait = |l: &Lane, queued| l.opens_at().saturating_sub(self.now) + served_in(l, queued);
+        let waits = d.into_iter().flat_map(|d| d.lanes.iter().map(|l| wait(&self.lanes[*l], d.queued())));
+        waits.min().unwrap_or(0).min(self.s.max_advised_wait)
+    }
+
     /// A message is over; its attempts may still be out, and its key waits for them.
     fn finish(&mut self, id: MessageId) {
         self.dequeue(id);
@@ -627,9 +635,8 @@
         let r = &self.s.rules;
         let l = &mut self.lanes[lane];
         let (mut rate, mut depth) = (l.pace, (l.pace / 2.0).max(1.0));
-        let start = if let Gate::Out { next, .. } = l.gate { next } else { 0 }.max(l.wait_until);
-        if start > self.now {
-            return Err(start);
+        if l.opens_at() > self.now {
+            return Err(l.opens_at());
         }
         if let Gate::Ramp { since } = l.gate {
             // This sender's part of a cautious share of what would push it over, rising over the ramp. Does
--- a/src/state.rs
+++ b/src/state.rs
@@ -64,6 +64,14 @@
     pub heat: f64,
 }
 
+impl Lane {
+    /// When the next call may go at the earliest.
+    pub fn opens_at(&self) -> Micros {
+        let next = if let Gate::Out { next, .. } = self.gate { next } else { 0 };
+        next.max(self.wait_until)
+    }
+}
+
 /// An endpoint.
 #[derive(Debug, Default)]
 pub(crate) struct Target {
@@ -84,6 +92,13 @@
     pub ready: BTreeMap<(usize, u32), BTreeSet<(Micros, MessageId)>>,
 }
 
+impl Destination {
+    /// Messages that stand ready to go.
+    pub fn queued(&self) -> usize {
+        self.ready.values().map(BTreeSet::len).sum()
+    }
+}
+
 /// An attempt; `done` once it has its outcome.
 #[derive(Debug)]
 pub(crate) struct Attempt {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -365,3 +365,24 @@
     assert!(in_time >= 90, "{in_time} of 100 later messages were in time");
     field.kept();
 }
+
+/// Clients that came back at once met the same backlog, and had used up their tries before it was served.
+#[test]
+fn a_refused_client_is_told_when_to_come_back_where_that_is_allowed() {
+    let advice = |allowed: bool| {
+        let mut s = settings(vec![class(Effect::Repeatable)]);
+        (s.may_advise_wait, s.max_advised_wait, s.max_held) = (allowed, 2 * S, 40);
+        let mut field = warmed(s, vec![endpoint(1, 1)], 0);
+        let id = field.request(0, 1, 0);
+        field.end(id, 0, Outcome::Full, 1500 * MS);
+        (0..60).for_each(|_| assert!(field.request(0, 1, 0) > id));
+        let refused = field.trace.iter().filter_map(|(_, a)| match a {
+            Action::Refuse { retry_after, .. } => Some(*retry_after),
+            _ => None,
+        });
+        refused.collect::<Vec<_>>()
+    };
+    let told = advice(true);
+    assert!(told.len() > 10 && told.iter().all(|wait| (1500 * MS..=2 * S).contains(wait)), "{told:?}");
+    assert!(advice(false).iter().all(|wait| *wait == 0));
+}
