A new version takes over listener, log and module state while the old one ends its calls

Tests on real processes: three upgrades in a row under load, calls in flight, the old or the new process killed, told waits and endpoints out, half a request on an old connection, an owner that does not answer. All need a second process that starts, which the code before could not.

--- a/src/bin/foldtrack/clients.rs
+++ b/src/bin/foldtrack/clients.rs
@@ -41,9 +41,8 @@
     pub stage: watch::Receiver<Stage>,
 }
 
-/// Serves connections, at most `most` at once, until the stage is [`Stage::Closing`].
-pub(crate) async fn serve(listener: TcpListener, desk: Arc<Desk>, most: usize) {
-    let places = Places::new(most);
+/// Serves connections for as long as the stage has it.
+pub(crate) async fn serve(listener: TcpListener, desk: Arc<Desk>, places: Places) {
     let mut stage = desk.stage.clone();
     loop {
         let accept = async {
@@ -52,7 +51,7 @@
         };
         let accepted = tokio::select! {
             accepted = accept => accepted,
-            _ = stage.wait_for(|s| *s == Stage::Closing) => return,
+            _ = stage.wait_for(|s| !s.accepts()) => return,
         };
         match accepted {
             Some((place, stream)) => {
--- a/src/bin/foldtrack/config.rs
+++ b/src/bin/foldtrack/config.rs
@@ -6,6 +6,7 @@
 use std::env;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Arc;
 
 #[derive(Debug)]
 pub(crate) struct Config {
@@ -18,7 +19,7 @@
     pub sockets: usize,
     pub disk_bytes: u64,
     pub known: ServerList,
-    pub settings: Parsed,
+    pub settings: Arc<Parsed>,
 }
 
 #[derive(Deserialize)]
@@ -84,7 +85,7 @@
             sockets: file.limits.sockets,
             disk_bytes: disk_bytes as u64,
             known: file.known,
-            settings: file.settings,
+            settings: Arc::new(file.settings),
         })
     }
 }
--- a/src/bin/foldtrack/door.rs
+++ b/src/bin/foldtrack/door.rs
@@ -18,12 +18,14 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 /// Connections at once at the most: few, so that callers take no descriptors from the messages.
 pub(crate) const CALLERS: usize = 16;
 /// A call comes whole within this span: its answer is due 1 s after it began.
 const CALL_WAIT: Duration = Duration::from_millis(600);
+/// Where the node has not answered so long after a caller came, as while it waits to take over, the answer is no.
+const ANSWER_WAIT: Duration = Duration::from_millis(900);
 /// What a call sends beyond its answer is read for so long, or the close would take the answer back.
 const LINGER: Duration = Duration::from_millis(200);
 /// No call needs a body; a longer one than this is not read.
@@ -80,8 +82,9 @@
 }
 
 async fn caller(stream: TcpStream, inputs: &Inputs, place: &Place) {
+    let due = Instant::now() + ANSWER_WAIT;
     let service = service_fn(|request| {
-        Box::pin(async move { Ok::<_, Infallible>(answer(request, inputs, place).await) })
+        Box::pin(async move { Ok::<_, Infallible>(answer(request, inputs, place, due).await) })
     });
     let mut serving = http1::Builder::new()
         .max_buf_size(BUFFER)
@@ -99,11 +102,13 @@
     }
 }
 
-async fn answer(request: Request<Incoming>, inputs: &Inputs, place: &Place) -> Response<Full<Bytes>> {
+async fn answer(
+    request: Request<Incoming>, inputs: &Inputs, place: &Place, due: Instant,
+) -> Response<Full<Bytes>> {
     place.settle();
     let (status, text) = match understand(request.method(), request.uri().path()) {
         Ok(ask) => match read_body(request.into_body()).await {
-            Ok(()) => put(ask, inputs).await,
+            Ok(()) => put(ask, inputs, due).await,
             Err(status) => (status, String::new()),
         },
         Err(Wrong::Unknown) => (StatusCode::NOT_FOUND, String::new()),
@@ -161,10 +166,14 @@
     }
 }
 
-async fn put(ask: Ask, inputs: &Inputs) -> Told {
+/// An answer that is not awaited any more is no, and its call has no effect.
+async fn put(ask: Ask, inputs: &Inputs, due: Instant) -> Told {
     let (reply, told) = oneshot::channel();
     inputs.send(Input::Operator { ask, reply });
-    told.await.unwrap_or((StatusCode::SERVICE_UNAVAILABLE, String::new()))
+    match timeout_at(due, told).await {
+        Ok(Ok(told)) => told,
+        _ => (StatusCode::SERVICE_UNAVAILABLE, "not at present\n".into()),
+    }
 }
 
 #[cfg(test)]
--- a/src/bin/foldtrack/main.rs
+++ b/src/bin/foldtrack/main.rs
@@ -13,13 +13,16 @@
 mod platform;
 mod tally;
 mod targets;
+mod upgrade;
 
 use config::Config;
 use node::Input;
-use std::process::ExitCode;
+use std::os::unix::process::CommandExt;
+use std::process::{Command, ExitCode};
 use tokio::signal::unix::{signal, SignalKind};
+use upgrade::Rest;
 
-async fn run(config: Config) -> Result<(), String> {
+async fn run(config: Config) -> Result<Rest, String> {
     let (inputs, receiver) = node::channel();
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
     let to_node = inputs.clone();
@@ -43,6 +46,17 @@
     end.map_err(|e| format!("listening on {listen} with the state in {}: {e}", state.display()))
 }
 
+/// The successor has ended, and with it the owner of the log: this process starts as after a restart.
+fn start_anew() -> ExitCode {
+    eprintln!("foldtrack: the new version has ended; starting anew from the log");
+    let error = match std::env::current_exe() {
+        Ok(program) => Command::new(program).args(std::env::args_os().skip(1)).exec(),
+        Err(error) => error,
+    };
+    eprintln!("foldtrack: not started anew: {error}");
+    ExitCode::FAILURE
+}
+
 fn main() -> ExitCode {
     let end = Config::load().and_then(|config| {
         // One thread: the forwarder has one core.
@@ -50,7 +64,8 @@
         runtime.map_err(|e| e.to_string())?.block_on(run(config))
     });
     match end {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(Rest::Done) => ExitCode::SUCCESS,
+        Ok(Rest::Orphaned) => start_anew(),
         Err(error) => {
             eprintln!("foldtrack: {error}");
             ExitCode::FAILURE
--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -7,9 +7,11 @@
 use crate::figures::{Ended, Figures};
 use crate::journal::{Accepted, Fate, Journal, Notice, Record, Restored};
 use crate::out::{self, TakenOut};
+use crate::places::Places;
 use crate::platform::{self, ServerList, ServerState};
 use crate::tally::{Standing, Tally};
 use crate::targets::{self, Call, CallEnd, IdleConnections};
+use crate::upgrade::{self, Estate, HeldState, LeftCall, Lock, Offer, Predecessor, Remainder, Rest, Start};
 use bytes::Bytes;
 use hatchline::settings::Parsed;
 use hatchline::{Action, Brain, Endpoint, EndpointState, Event, ListKind, Micros, Outcome, TargetId};
@@ -19,12 +21,15 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::hash::{Hash, Hasher};
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::os::fd::{AsFd, OwnedFd};
+use std::os::unix::net::UnixStream;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::sync::{oneshot, watch};
+use tokio::task::JoinHandle;
 use tokio::time::{sleep_until, timeout, Instant};
 
 /// Inputs that one round takes in at most.
@@ -46,6 +51,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Clock {
     start: Instant,
+    base: Micros,
     unix_start: Micros,
 }
 
@@ -55,27 +61,33 @@
 
     pub fn new() -> Clock {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), unix_start: unix.as_micros() as Micros }
+        Clock { start: Instant::now(), base: Self::BASE, unix_start: unix.as_micros() as Micros }
+    }
+
+    /// Goes on with another process's clock, of which this was the time at this time of day.
+    fn continuing(now: Micros, unix: Micros) -> Clock {
+        let fresh = Clock::new();
+        Clock { base: now + fresh.unix_start.saturating_sub(unix), ..fresh }
     }
 
     pub fn now(&self) -> Micros {
-        Self::BASE + self.start.elapsed().as_micros() as Micros
+        self.base + self.start.elapsed().as_micros() as Micros
     }
 
     fn instant(&self, at: Micros) -> Instant {
-        self.start + Duration::from_micros(at.saturating_sub(Self::BASE))
+        self.start + Duration::from_micros(at.saturating_sub(self.base))
     }
 
     fn micros(&self, at: Instant) -> Micros {
-        Self::BASE + at.saturating_duration_since(self.start).as_micros() as Micros
+        self.base + at.saturating_duration_since(self.start).as_micros() as Micros
     }
 
     fn unix(&self, at: Micros) -> Micros {
-        (self.unix_start + at).saturating_sub(Self::BASE)
+        (self.unix_start + at).saturating_sub(self.base)
     }
 
     fn since_unix(&self, unix: Micros) -> Micros {
-        (Self::BASE + unix).saturating_sub(self.unix_start)
+        (self.base + unix).saturating_sub(self.unix_start)
     }
 }
 
@@ -102,6 +114,35 @@
     fn order_key(&self) -> u64 {
         order_key(&self.key)
     }
+
+    /// As the journal has it.
+    pub fn accepted(&self, settings: &Parsed, clock: &Clock) -> Accepted {
+        Accepted {
+            id: self.id.clone(),
+            class: settings.class_names.get(self.class).cloned().unwrap_or_default(),
+            destination: self.destination,
+            key: self.key.clone(),
+            idempotency_key: self.idempotency_key.clone(),
+            retry: self.retry.clone(),
+            expires: clock.unix(self.expires),
+            body: self.body.to_vec(),
+        }
+    }
+
+    /// The other way; the class is past all that the settings have if they do not name it any more.
+    pub fn of(accepted: Accepted, settings: &Parsed, clock: &Clock) -> Message {
+        let class = settings.class_names.iter().position(|n| *n == accepted.class);
+        Message {
+            id: accepted.id,
+            class: class.unwrap_or(usize::MAX),
+            destination: accepted.destination,
+            key: accepted.key,
+            idempotency_key: accepted.idempotency_key,
+            retry: accepted.retry,
+            expires: clock.since_unix(accepted.expires),
+            body: accepted.body.into(),
+        }
+    }
 }
 
 /// The module's name for a key, 0 for none; two keys that share one only wait for each other.
@@ -120,10 +161,19 @@
     Serving,
     /// Told to end: answers close their connections.
     Draining,
-    /// Nothing is accepted any more.
+    /// The same, and nothing is accepted any more: a successor does that.
+    Succeeded,
+    /// Nothing is accepted any more, and idle connections close.
     Closing,
 }
 
+impl Stage {
+    /// Whether new connections are accepted.
+    pub fn accepts(self) -> bool {
+        matches!(self, Stage::Serving | Stage::Draining)
+    }
+}
+
 /// What a client is told.
 pub(crate) enum Answer {
     TakenOn(Receipt),
@@ -137,6 +187,16 @@
     pub written: bool,
 }
 
+impl Receipt {
+    pub fn new(number: u64, inputs: Inputs) -> Receipt {
+        Receipt { number, inputs, written: false }
+    }
+
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+}
+
 impl Drop for Receipt {
     fn drop(&mut self) {
         self.inputs.send(Input::Answered { number: self.number, written: self.written });
@@ -171,6 +231,8 @@
         ask: Ask,
         reply: oneshot::Sender<Told>,
     },
+    /// Another process would take over.
+    Successor(UnixStream),
     Terminate,
 }
 
@@ -243,8 +305,8 @@
     unsent: BTreeSet<u64>,
     reports_out: usize,
     reports_from: Micros,
-    /// By message and attempt: what calls it off.
-    calls: BTreeMap<(u64, u32), oneshot::Sender<()>>,
+    /// By message and attempt: where it went, and what calls it off.
+    calls: BTreeMap<(u64, u32), (TargetId, oneshot::Sender<()>)>,
     idle: IdleConnections,
     swept: Instant,
     tally: Tally,
@@ -257,6 +319,11 @@
     timers: BTreeSet<(Micros, u32)>,
     stage: watch::Sender<Stage>,
     terminated: Option<Instant>,
+    /// Who owns all this, and what clients are accepted from, to be handed to a successor.
+    lock: Option<Lock>,
+    listener: Option<OwnedFd>,
+    successor: Option<UnixStream>,
+    places: Places,
     actions: Vec<Action>,
 }
 
@@ -266,67 +333,59 @@
     (Inputs(sender), receiver)
 }
 
-/// Restores what the journal holds, then serves until it is told to end.
+/// Takes over from the process that runs, or restores what the journal holds; then serves until it is told to end,
+/// or has handed over and has nothing left to do.
 pub(crate) async fn run(
     config: Config, inputs: Inputs, mut receiver: UnboundedReceiver<Input>,
-) -> io::Result<()> {
-    let clock = Clock::new();
-    let settings = Arc::new(config.settings);
-    let max_attempts = settings.settings.max_attempts;
-    let (journal, restored) =
-        Journal::open(&config.state, config.disk_bytes.saturating_sub(out::ROOM), max_attempts)?;
-    let taken_out = TakenOut::open(&config.state)?;
+) -> io::Result<Rest> {
     if let Some(address) = config.admin {
         tokio::spawn(door::serve(address, inputs.clone()));
     }
-    let (stage, stage_seen) = watch::channel(Stage::Serving);
-    let (discovery, discovery_seen) = watch::channel(config.discovery);
-    let conn_idle = Duration::from_micros(settings.settings.connection_idle);
-    let mut node = Node {
-        clock,
-        brain: Brain::new(clock.now(), config.seed, settings.settings.clone()),
-        settings: settings.clone(),
-        journal,
-        inputs: inputs.clone(),
-        discovery,
-        next_number: restored.last_key_value().map_or(1, |(number, _)| number + 1),
-        messages: BTreeMap::new(),
-        fresh: Vec::new(),
-        notices: BTreeMap::new(),
-        unsent: BTreeSet::new(),
-        reports_out: 0,
-        reports_from: 0,
-        calls: BTreeMap::new(),
-        idle: IdleConnections::new(conn_idle, config.sockets / 4),
-        swept: Instant::now(),
-        tally: Tally::default(),
-        figures: Figures::new(&settings.class_names),
-        taken_out,
-        accepting: false,
-        target_ids: HashMap::new(),
-        servers: Vec::new(),
-        timers: BTreeSet::new(),
-        stage,
-        terminated: None,
-        actions: Vec::new(),
+    let (format, meeting) = (upgrade::format_of(&config.settings), upgrade::meeting_point(&config.state));
+    let (mut node, listener) = loop {
+        match upgrade::begin(&config.state, &meeting, &format).await? {
+            Start::Alone(lock) => break (Node::restored(&config, &inputs, lock)?, None),
+            Start::Successor(offer) => match Node::succeeding(&config, &inputs, *offer) {
+                Ok((node, listener)) => break (node, Some(listener)),
+                Err(error) => eprintln!("upgrade: nothing was handed over: {error}"),
+            },
+        }
     };
-    node.list(config.known, ListKind::Cached);
-    for (number, message) in restored {
-        node.restore(number, message);
-    }
-    tokio::spawn(platform::watch(discovery_seen, inputs.clone()));
+    let watching = tokio::spawn(platform::watch(node.discovery.subscribe(), inputs.clone()));
     let mut batch = Vec::new();
-    // What the configuration knows may be old: a target that this forwarder was told of as drained, before it
-    // restarted, would get what it held. The agent answers at once, or discovery is down.
-    if let Ok(Some(first)) = timeout(FIRST_LIST, receiver.recv()).await {
-        batch.push(first);
-    }
-    let listener = TcpListener::bind(config.listen).await?;
-    let desk = Desk { settings, clock, inputs, stage: stage_seen };
-    tokio::spawn(clients::serve(listener, Arc::new(desk), config.sockets / 2));
+    let listener = match listener {
+        Some(listener) => TcpListener::from_std(listener)?,
+        None => {
+            // What the configuration knows may be old: a target that this forwarder was told of as drained, before
+            // it restarted, would get what it held. The agent answers at once, or discovery is down.
+            if let Ok(Some(first)) = timeout(FIRST_LIST, receiver.recv()).await {
+                batch.push(first);
+            }
+            TcpListener::bind(config.listen).await?
+        }
+    };
+    node.listener = Some(listener.as_fd().try_clone_to_owned()?);
+    let (settings, clock, stage) = (node.settings.clone(), node.clock, node.stage.subscribe());
+    let desk = Desk { settings, clock, inputs: inputs.clone(), stage };
+    tokio::spawn(clients::serve(listener, Arc::new(desk), node.places.clone()));
     node.accepting = true;
+    let meeting = upgrade::await_successor(&meeting, format, inputs);
+    if let Err(error) = &meeting {
+        eprintln!("upgrade: no successor can take over while this process runs: {error}");
+    }
     while !node.has_ended() {
         node.round(&mut batch);
+        if let Some(successor) = node.successor.take() {
+            match node.hand_over(&successor) {
+                Ok(()) => {
+                    eprintln!("upgrade: a new version has taken over");
+                    watching.abort();
+                    meeting.iter().for_each(JoinHandle::abort);
+                    return node.into_remainder().serve(successor, receiver).await;
+                }
+                Err(error) => eprintln!("upgrade: nothing was handed over: {error}"),
+            }
+        }
         let wake = node.wake_at();
         tokio::select! {
             biased;
@@ -334,7 +393,169 @@
             () = sleep_until(wake) => {}
         }
     }
-    Ok(())
+    Ok(Rest::Done)
+}
+
+impl Node {
+    fn new(
+        config: &Config, inputs: &Inputs, clock: Clock, brain: Brain,
+    ) -> io::Result<(Node, BTreeMap<u64, Restored>)> {
+        let settings = &config.settings.settings;
+        let room = config.disk_bytes.saturating_sub(out::ROOM);
+        let (journal, restored) = Journal::open(&config.state, room, settings.max_attempts)?;
+        let conn_idle = Duration::from_micros(settings.connection_idle);
+        let node = Node {
+            clock,
+            brain,
+            settings: config.settings.clone(),
+            journal,
+            inputs: inputs.clone(),
+            discovery: watch::Sender::new(config.discovery),
+            next_number: restored.last_key_value().map_or(1, |(number, _)| number + 1),
+            messages: BTreeMap::new(),
+            fresh: Vec::new(),
+            notices: BTreeMap::new(),
+            unsent: BTreeSet::new(),
+            reports_out: 0,
+            reports_from: 0,
+            calls: BTreeMap::new(),
+            idle: IdleConnections::new(conn_idle, config.sockets / 4),
+            swept: Instant::now(),
+            tally: Tally::default(),
+            figures: Figures::new(&config.settings.class_names),
+            taken_out: TakenOut::open(&config.state)?,
+            accepting: false,
+            target_ids: HashMap::new(),
+            servers: Vec::new(),
+            timers: BTreeSet::new(),
+            stage: watch::Sender::new(Stage::Serving),
+            terminated: None,
+            lock: None,
+            listener: None,
+            successor: None,
+            places: Places::new(config.sockets / 2),
+            actions: Vec::new(),
+        };
+        Ok((node, restored))
+    }
+
+    /// Goes on from what the journal holds.
+    fn restored(config: &Config, inputs: &Inputs, lock: Lock) -> io::Result<Node> {
+        let clock = Clock::new();
+        let brain = Brain::new(clock.now(), config.seed, config.settings.settings.clone());
+        let (mut node, restored) = Node::new(config, inputs, clock, brain)?;
+        node.lock = Some(lock);
+        node.list(config.known.clone(), ListKind::Cached);
+        for (number, message) in restored {
+            node.restore(number, message);
+        }
+        Ok(node)
+    }
+
+    /// Goes on where another process stops; with an error that one goes on.
+    fn succeeding(config: &Config, inputs: &Inputs, offer: Offer) -> io::Result<(Node, StdListener)> {
+        let settings = config.settings.settings.clone();
+        let brain = Brain::take_over(&offer.estate.brain, settings).map_err(io::Error::other)?;
+        let clock = Clock::continuing(offer.estate.now, offer.estate.unix);
+        let (mut node, restored) = Node::new(config, inputs, clock, brain)?;
+        let (estate, lock, listener, stream) = offer.accept()?;
+        node.lock = Some(lock);
+        let reserved = node.places.reserve(estate.clients);
+        let (calls, answering) = node.inherit(estate, restored);
+        let (inputs, settings) = (inputs.clone(), config.settings.clone());
+        let predecessor = Predecessor { inputs, settings, calls, answering, reserved, clock };
+        tokio::spawn(async move {
+            if let Err(error) = predecessor.attend(stream).await {
+                eprintln!("upgrade: the old process cannot be heard: {error}");
+            }
+        });
+        Ok((node, listener))
+    }
+
+    /// Takes in what the old process knows beside the journal; gives the calls that it still has, and the messages
+    /// whose clients it is telling that they are taken on.
+    fn inherit(
+        &mut self, estate: Estate, mut restored: BTreeMap<u64, Restored>,
+    ) -> (Vec<LeftCall>, BTreeSet<u64>) {
+        self.next_number = self.next_number.max(estate.next_number);
+        self.timers = estate.timers.into_iter().collect();
+        for (name, address, zone, era) in estate.servers {
+            self.target_ids.insert(name, self.servers.len() as TargetId);
+            self.servers.push(Server { address, zone, era });
+        }
+        let mut answering = BTreeSet::new();
+        for HeldState { number, attempts, told, waiting } in estate.messages {
+            let Some(known) = restored.remove(&number) else {
+                // Lost to the journal by an error that was logged: nothing can be sent of it.
+                self.handle(Event::Lapsed { id: number });
+                continue;
+            };
+            let message = Arc::new(Message::of(known.accepted, &self.settings, &self.clock));
+            let taken = if told { Taken::On } else { Taken::Answering };
+            answering.extend((!told).then_some(number));
+            let waiting =
+                waiting.map(|(attempt, target, until, decided)| Waiting { attempt, target, until, decided });
+            self.messages.insert(number, Held { message, taken, attempts, waiting });
+        }
+        // What is left has ended, and its notice is to be taken yet.
+        for (number, message) in restored {
+            self.restore(number, message);
+        }
+        let left = |(number, attempt, target): (u64, u32, TargetId)| {
+            let (cancel, cancelled) = oneshot::channel();
+            self.calls.insert((number, attempt), (target, cancel));
+            (number, attempt, target, cancelled)
+        };
+        (estate.calls.into_iter().map(left).collect(), answering)
+    }
+
+    /// Hands all to a successor. With an error it is still the owner.
+    fn hand_over(&self, successor: &UnixStream) -> io::Result<()> {
+        let (None, Some(listener), Some(lock)) = (self.terminated, &self.listener, &self.lock) else {
+            return Err(io::Error::other("this process is about to end"));
+        };
+        let now = self.clock.now();
+        let held = |(number, held): (&u64, &Held)| HeldState {
+            number: *number,
+            attempts: held.attempts,
+            told: matches!(held.taken, Taken::On),
+            waiting: held.waiting.as_ref().map(|w| (w.attempt, w.target, w.until, w.decided)),
+        };
+        let named = |(name, target): (&String, &TargetId)| {
+            let Server { address, zone, era } = self.servers[*target as usize];
+            (*target, (name.clone(), address, zone, era))
+        };
+        let servers: BTreeMap<_, _> = self.target_ids.iter().map(named).collect();
+        let estate = Estate {
+            now,
+            unix: self.clock.unix(now),
+            brain: self.brain.hand_over().map_err(io::Error::other)?,
+            next_number: self.next_number,
+            messages: self.messages.iter().map(held).collect(),
+            calls: self.calls.iter().map(|((number, attempt), call)| (*number, *attempt, call.0)).collect(),
+            servers: servers.into_values().collect(),
+            timers: self.timers.iter().copied().collect(),
+            clients: self.places.taken(),
+        };
+        upgrade::offer(successor, &estate, listener, lock)
+    }
+
+    /// What is left for this process to do once it has handed over; the lock and the log are the successor's.
+    fn into_remainder(self) -> Remainder {
+        self.stage.send_replace(Stage::Succeeded);
+        Remainder {
+            calls: self.calls.into_iter().map(|(call, (_, cancel))| (call, cancel)).collect(),
+            figures: self.figures,
+            pool: self.brain.pool(),
+            inputs: self.inputs,
+            settings: self.settings,
+            clock: self.clock,
+            stage: self.stage,
+            places: self.places,
+            accept_on: ACCEPT_ON,
+            end_by: END_BY,
+        }
+    }
 }
 
 impl Node {
@@ -387,8 +608,9 @@
             }
             Input::Reported { numbers, status } => self.reported(numbers, status),
             Input::Written { class } => self.figures.tried(class),
+            // One that nobody awaits any more has been answered no.
+            Input::Operator { reply, .. } if reply.is_closed() => {}
             Input::Operator { ask, reply } => {
-                // If the caller has gone, its call has been carried out all the same.
                 let _ = reply.send(self.operator(ask));
             }
             Input::Discovery(address) => {
@@ -397,6 +619,7 @@
                 // What the old address did not take goes to the new one at once.
                 self.reports_from = 0;
             }
+            Input::Successor(stream) => self.successor = Some(stream),
             Input::Terminate => {
                 if self.terminated.is_none() {
                     self.terminated = Some(Instant::now());
@@ -483,17 +706,8 @@
             self.unsent.insert(number);
             return;
         }
-        let class = self.settings.class_names.iter().position(|n| *n == accepted.class);
-        let message = Message {
-            id: accepted.id,
-            class: class.unwrap_or(usize::MAX),
-            destination: accepted.destination,
-            key: accepted.key,
-            idempotency_key: accepted.idempotency_key,
-            retry: accepted.retry,
-            expires: self.clock.since_unix(accepted.expires),
-            body: accepted.body.into(),
-        };
+        let message = Message::of(accepted, &self.settings, &self.clock);
+        let class = message.class;
         let (order_key, destination, expires) = (message.order_key(), message.destination, message.expires);
         let held = Held {
             message: Arc::new(message),
@@ -502,10 +716,10 @@
             waiting: None,
         };
         self.messages.insert(number, held);
-        let Some(class) = class else {
+        if class >= self.settings.class_names.len() {
             // The settings have changed since: nothing can be promised.
             return self.end(number, Notice::GivenUp);
-        };
+        }
         let first = attempts.iter().find(|t| t.fate != Some(Fate::NeverRan));
         let first_run = first.map(|t| (self.clock.since_unix(t.at), t.zone));
         let outcome = |fate| match fate {
@@ -552,24 +766,14 @@
         for number in std::mem::take(&mut self.fresh) {
             let Some(held) = self.messages.get_mut(&number) else { continue };
             let Taken::Fresh(reply) = std::mem::replace(&mut held.taken, Taken::Answering) else { continue };
-            let message = &held.message;
-            let accepted = Record::Accepted(Accepted {
-                id: message.id.clone(),
-                class: self.settings.class_names[message.class].clone(),
-                destination: message.destination,
-                key: message.key.clone(),
-                idempotency_key: message.idempotency_key.clone(),
-                retry: message.retry.clone(),
-                expires: self.clock.unix(message.expires),
-                body: message.body.to_vec(),
-            });
+            let accepted = Record::Accepted(held.message.accepted(&self.settings, &self.clock));
             if let Err(error) = self.journal.append(number, &accepted) {
                 eprintln!("journal: a message is refused: {error}");
                 let _ = reply.send(Answer::Refused { retry_in_ms: 0 });
                 self.withdraw(number);
                 continue;
             }
-            let receipt = Receipt { number, inputs: self.inputs.clone(), written: false };
+            let receipt = Receipt::new(number, self.inputs.clone());
             // If the client has gone, the receipt is dropped here and says so.
             let _ = reply.send(Answer::TakenOn(receipt));
         }
@@ -610,7 +814,7 @@
                 self.send(id);
             }
             Action::Cancel { id, attempt } => {
-                if let Some(cancel) = self.calls.remove(&(id, attempt)) {
+                if let Some((_, cancel)) = self.calls.remove(&(id, attempt)) {
                     // A call that has just ended tells its own end.
                     let _ = cancel.send(());
                 } else if let Some(Waiting { target, .. }) =
@@ -677,7 +881,7 @@
         let connection = self.idle.take(target);
         self.tally.dialled += u32::from(connection.is_none());
         let (cancel, cancelled) = oneshot::channel();
-        self.calls.insert((number, attempt), cancel);
+        self.calls.insert((number, attempt), (target, cancel));
         let call = Call {
             number,
             attempt,
@@ -808,6 +1012,8 @@
         let closing = self.terminated.is_some_and(|at| at.elapsed() >= ACCEPT_ON);
         if closing && *self.stage.borrow() == Stage::Draining {
             self.stage.send_replace(Stage::Closing);
+            // Else it would take connections that nobody accepts.
+            self.listener = None;
         }
     }
 
--- a/src/bin/foldtrack/places.rs
+++ b/src/bin/foldtrack/places.rs
@@ -23,6 +23,7 @@
 #[derive(Clone)]
 pub(crate) struct Places {
     free: Arc<Semaphore>,
+    most: usize,
     newcomers: Shared<Newcomers>,
 }
 
@@ -36,7 +37,18 @@
 
 impl Places {
     pub fn new(most: usize) -> Places {
-        Places { free: Arc::new(Semaphore::new(most)), newcomers: Shared::default() }
+        Places { free: Arc::new(Semaphore::new(most)), most, newcomers: Shared::default() }
+    }
+
+    /// How many are taken.
+    pub fn taken(&self) -> usize {
+        self.most.saturating_sub(self.free.available_permits())
+    }
+
+    /// Keeps places free, as many as there are of so many.
+    pub fn reserve(&self, count: usize) -> Option<OwnedSemaphorePermit> {
+        let count = count.min(self.free.available_permits());
+        self.free.clone().try_acquire_many_owned(u32::try_from(count).ok()?).ok()
     }
 
     /// A place, and what tells that it is to be given up. Where there is none, the connection that has been silent
--- a/src/bin/foldtrack/targets.rs
+++ b/src/bin/foldtrack/targets.rs
@@ -280,21 +280,31 @@
     pub connection: Option<Connection>,
 }
 
+impl CallEnd {
+    /// The end of a call that began now and told nothing more.
+    pub fn new(number: u64, attempt: u32, target: TargetId, outcome: Outcome, over: bool) -> CallEnd {
+        let begun = Instant::now();
+        let (idle_for, wait_until, report, era, connection) = (None, None, None, 0, None);
+        CallEnd {
+            number,
+            attempt,
+            target,
+            begun,
+            outcome,
+            over,
+            idle_for,
+            wait_until,
+            report,
+            era,
+            connection,
+        }
+    }
+}
+
 /// Makes one call and tells its end: exactly once, and never tries again by itself.
 pub(crate) async fn call(call: Call, mut cancelled: oneshot::Receiver<()>, inputs: Inputs) {
-    let mut end = CallEnd {
-        number: call.number,
-        attempt: call.attempt,
-        target: call.target,
-        begun: Instant::now(),
-        outcome: Outcome::ConnectFailed,
-        over: false,
-        idle_for: None,
-        wait_until: None,
-        report: None,
-        era: call.era,
-        connection: None,
-    };
+    let end = CallEnd::new(call.number, call.attempt, call.target, Outcome::ConnectFailed, false);
+    let mut end = CallEnd { era: call.era, ..end };
     let Call { message, connection: idle, until, dial_timeout, address, reports, .. } = call;
     end.idle_for = idle.as_ref().map(|(idle_for, _)| *idle_for);
     let (reused, written) = (idle.is_some(), inputs.clone());
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -5,6 +5,7 @@
 
 use crate::interface::*;
 use crate::state::*;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Buckets of answer times: τ moves in steps of a few percent of the longest answer.
@@ -52,7 +53,7 @@
 
 /// Answer times of one destination and the choice of τ.
 #[rustfmt::skip] // fields stand by topic
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct AnswerTimes {
     width: f64, count: [f64; BUCKETS], sum: [f64; BUCKETS],
     unanswered: f64, answers: u32,
@@ -157,9 +158,11 @@
 
 /// The decisions of one forwarder.
 #[rustfmt::skip] // fields stand by topic
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub struct Brain {
-    pub(crate) s: Settings, pub(crate) now: Micros, pub(crate) out: Vec<Action>, seed: u64,
+    #[serde(skip)] pub(crate) s: Settings,
+    #[serde(skip)] pub(crate) out: Vec<Action>,
+    pub(crate) now: Micros, seed: u64,
     messages: BTreeMap<MessageId, Message>, turns: BTreeMap<u64, Turns>, pub(crate) lanes: Vec<Lane>,
     destinations: BTreeMap<DestinationId, Destination>, pub(crate) targets: BTreeMap<TargetId, Target>,
     pub(crate) taken_out: BTreeSet<TargetId>,
--- /dev/null
+++ b/src/handover.rs
@@ -0,0 +1,23 @@
+//! What one process hands to the next while calls are out: part of the decisions.
+
+use crate::brain::Brain;
+use crate::interface::Settings;
+
+/// Raised whenever the meaning or the layout of what goes along changes.
+pub const FORMAT: u32 = 1;
+
+impl Brain {
+    /// All that this sender knows goes along: its messages and calls, told waits, cold destinations, what is out by
+    /// hand, and what it has learned of answer times and rates. A successor that began anew would push over what is
+    /// cold and call what is to rest. The settings stay: the successor has its own.
+    pub fn hand_over(&self) -> Result<Vec<u8>, postcard::Error> {
+        postcard::to_stdvec(self)
+    }
+
+    /// Goes on where another process stopped. Times go on with its clock.
+    pub fn take_over(bytes: &[u8], settings: Settings) -> Result<Brain, postcard::Error> {
+        let mut brain: Brain = postcard::from_bytes(bytes)?;
+        brain.s = settings;
+        Ok(brain)
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -4,6 +4,8 @@
 //! `handle`, call `decide` after the last one of that moment, carry out the actions in their order.
 //! All times are microseconds of one clock that only advances; it may start anywhere.
 
+use serde::{Deserialize, Serialize};
+
 /// A point in time or a span, in microseconds.
 pub type Micros = u64;
 /// A message, named by the caller; never used twice.
@@ -149,7 +151,7 @@
 }
 
 /// State of an endpoint in the list. It tells nothing of health.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub enum EndpointState {
     /// Listed.
     #[default]
@@ -200,7 +202,7 @@
 }
 
 /// End of an attempt or a probe.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// Served.
     Ok,
@@ -221,7 +223,7 @@
 }
 
 /// What a destination tells of its limit beside an answer; some time old and not exact.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct LimitReport {
     /// Share of the allowance that is left.
     pub share_left: f64,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,9 +25,11 @@
 
 mod brain;
 mod by_hand;
+mod handover;
 pub mod interface;
 pub mod settings;
 mod state;
 
 pub use brain::Brain;
+pub use handover::FORMAT;
 pub use interface::*;
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,10 +2,11 @@
 
 use crate::brain::AnswerTimes;
 use crate::interface::*;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Circuit state of a destination or of a route apart.
-#[derive(Clone, Copy, Debug, PartialEq, Default)]
+#[derive(Clone, Copy, Debug, PartialEq, Default, Serialize, Deserialize)]
 pub(crate) enum Gate {
     #[default]
     Open,
@@ -16,7 +17,7 @@
 }
 
 /// A call in flight, with its messages and their attempts.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Call {
     pub messages: Vec<(MessageId, u32)>,
     pub target: TargetId,
@@ -26,7 +27,7 @@
 }
 
 /// A destination's shared way, or one route apart: what has its own limit, pace and outages.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Lane {
     pub targets: Vec<TargetId>,
     pub kind: usize,
@@ -73,7 +74,7 @@
 }
 
 /// An endpoint.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Target {
     pub lane: usize,
     pub zone: u32,
@@ -87,7 +88,7 @@
 }
 
 /// A destination and what is held for it.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Destination {
     pub lanes: Vec<usize>,
     /// Messages ready to go, by class and by the zone (plus one) that binds them, oldest first.
@@ -102,7 +103,7 @@
 }
 
 /// An attempt; `done` once it has its outcome.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct Attempt {
     pub target: TargetId,
     pub call: u64,
@@ -111,7 +112,7 @@
 }
 
 /// A message.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Message {
     pub class: usize,
     pub destination: DestinationId,
--- a/tests/forwarder/door.rs
+++ b/tests/forwarder/door.rs
@@ -10,14 +10,14 @@
 /// longer than this.
 const SOON: Duration = Duration::from_secs(10);
 
-fn figure(forwarder: &Forwarder, name: &str) -> u64 {
+pub fn figure_at(forwarder: &Forwarder, name: &str) -> u64 {
     let text = forwarder.operate("GET", "/-/metrics");
     let body = text.split_once("\r\n\r\n").map_or("", |(_, body)| body);
     let line = body.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix('='));
     line.and_then(|value| value.parse().ok()).unwrap_or_else(|| panic!("no {name} in {text}"))
 }
 
-fn status(answer: &str) -> &str {
+pub fn status(answer: &str) -> &str {
     answer.split(' ').nth(1).unwrap_or("")
 }
 
@@ -32,7 +32,7 @@
     assert_eq!(said("POST", "/-/endpoints/s-2/disable"), "404");
     assert_eq!(said("POST", "/-/endpoints/s-2/enable"), "404");
     assert_eq!(said("POST", &format!("/-/endpoints/{}/disable", "s".repeat(20_000)))[..1], *"4");
-    let raw = |text: String| forwarder.exchange_at(forwarder.admin, text.as_bytes());
+    let raw = |text: String| exchange_at(forwarder.admin, text.as_bytes());
     assert_eq!(status(&raw("what is this\r\n\r\n".into())), "400");
     let long = format!(
         "POST /-/endpoints/s-1/disable HTTP/1.1\r\nHost: f\r\nContent-Length: 9000\r\n\r\n{}",
@@ -42,7 +42,7 @@
     // Half a call: the rest of what it announces never comes.
     let half = "POST /-/endpoints/s-1/disable HTTP/1.1\r\nHost: f\r\nContent-Length: 9\r\n\r\nhalf";
     assert_eq!(status(&raw(half.into())), "408");
-    assert_eq!(figure(&forwarder, "pool_ejected"), 0);
+    assert_eq!(figure_at(&forwarder, "pool_ejected"), 0);
     assert_eq!(forwarder.hand_in(&fee("m1")), 202);
     eventually("the call", || target.ids() == ["m1"]);
 }
@@ -89,7 +89,7 @@
     }
     let before = first.seen();
     hand_in(&forwarder, 8);
-    assert_eq!((figure(&forwarder, "pool_size"), figure(&forwarder, "pool_ejected")), (2, 1));
+    assert_eq!((figure_at(&forwarder, "pool_size"), figure_at(&forwarder, "pool_ejected")), (2, 1));
     platform.change(both(1));
     eventually("the list is told", || platform.has_told());
     hand_in(&forwarder, 8);
@@ -98,7 +98,7 @@
     hand_in(&forwarder, 8);
     assert_eq!(first.seen().len(), before.len(), "calls came while it was out");
     assert_eq!(status(&forwarder.operate("POST", "/-/endpoints/s-1/enable")), "200");
-    assert_eq!(figure(&forwarder, "pool_ejected"), 0);
+    assert_eq!(figure_at(&forwarder, "pool_ejected"), 0);
     assert_eq!(status(&forwarder.operate("POST", "/-/endpoints/s-2/disable")), "200");
     hand_in(&forwarder, 1);
     assert_eq!(first.seen().len(), before.len() + 1, "it gets calls again");
@@ -148,10 +148,10 @@
     let expected = [("fee.ok", 2), ("fee.shed", 1), ("fee.errors", 1), ("fee.tries", 3)];
     let more = [("update.ok", 1), ("update.shed", 0), ("update.errors", 0), ("update.tries", 1)];
     for (name, count) in expected.into_iter().chain(more) {
-        eventually(name, || figure(&forwarder, &format!("responses.{name}")) == count);
+        eventually(name, || figure_at(&forwarder, &format!("responses.{name}")) == count);
     }
-    assert_eq!(figure(&forwarder, "active"), 1);
-    assert_eq!(figure(&forwarder, "pool_size"), 1);
+    assert_eq!(figure_at(&forwarder, "active"), 1);
+    assert_eq!(figure_at(&forwarder, "pool_size"), 1);
 }
 
 /// A call that finds nobody has written nothing.
@@ -162,5 +162,8 @@
     let forwarder = Forwarder::start(&platform);
     assert_eq!(forwarder.hand_in(&fee("m1").within(600)), 202);
     eventually("the notice", || platform.has("m1", "handed_back"));
-    assert_eq!((figure(&forwarder, "responses.fee.tries"), figure(&forwarder, "responses.fee.shed")), (0, 1));
+    assert_eq!(
+        (figure_at(&forwarder, "responses.fee.tries"), figure_at(&forwarder, "responses.fee.shed")),
+        (0, 1)
+    );
 }
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -1,6 +1,7 @@
 //! The forwarder as a process among stand-ins on loopback: the rules, restarts, and each failure found.
 
 mod door;
+mod upgrade;
 mod world;
 
 use std::fs;
--- a/tests/forwarder/world.rs
+++ b/tests/forwarder/world.rs
@@ -344,8 +344,17 @@
     }
 
     pub fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-s", name, &pid]).status().unwrap().success());
+        signal(&self.child, name);
+    }
+
+    /// Starts a new version beside the one that runs, under a new address for operators; gives the old one.
+    pub fn upgrade(&mut self) -> Old {
+        let path = self.folder.path().join("config.json");
+        let mut config: Value = serde_json::from_slice(&std::fs::read(&path).unwrap()).unwrap();
+        let old_admin = std::mem::replace(&mut self.admin, own_address());
+        config["admin"] = self.admin.to_string().into();
+        std::fs::write(&path, config.to_string()).unwrap();
+        Old { admin: old_admin, child: std::mem::replace(&mut self.child, Forwarder::spawn(&self.folder)) }
     }
 
     pub fn kill(&mut self) {
@@ -359,32 +368,20 @@
     }
 
     pub fn wait(&mut self) -> ExitStatus {
-        eventually("the process ends", || self.child.try_wait().unwrap().is_some());
-        self.child.wait().unwrap()
+        wait(&mut self.child)
     }
 
     pub fn is_running(&mut self) -> bool {
         self.child.try_wait().unwrap().is_none()
     }
 
-    /// Sends bytes on a new connection and gives what comes back until it is closed.
     pub fn exchange(&self, bytes: &[u8]) -> String {
-        self.exchange_at(self.listen, bytes)
-    }
-
-    /// The same at another address, as the operators' one.
-    pub fn exchange_at(&self, address: SocketAddr, bytes: &[u8]) -> String {
-        let Ok(mut stream) = TcpStream::connect(address) else { return String::new() };
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        let mut answer = Vec::new();
-        let _ = stream.write_all(bytes).and_then(|()| stream.read_to_end(&mut answer).map(drop));
-        String::from_utf8_lossy(&answer).into_owned()
+        exchange_at(self.listen, bytes)
     }
 
     /// A call at the operators' door, and its whole answer.
     pub fn operate(&self, method: &str, path: &str) -> String {
-        let call = format!("{method} {path} HTTP/1.1\r\nHost: f\r\n\r\n");
-        self.exchange_at(self.admin, call.as_bytes())
+        operate_at(self.admin, method, path)
     }
 
     pub fn connect(&self) -> Kept {
@@ -395,8 +392,62 @@
 
     /// Hands a message in and gives the status of the answer.
     pub fn hand_in(&self, letter: &Letter) -> u16 {
-        let answer = self.exchange(&letter.bytes());
-        answer.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+        hand_in_at(self.listen, letter)
+    }
+}
+
+fn signal(child: &Child, name: &str) {
+    let pid = child.id().to_string();
+    assert!(Command::new("kill").args(["-s", name, &pid]).status().unwrap().success());
+}
+
+fn wait(child: &mut Child) -> ExitStatus {
+    eventually("the process ends", || child.try_wait().unwrap().is_some());
+    child.wait().unwrap()
+}
+
+/// Sends bytes on a new connection and gives what comes back until it is closed.
+pub fn exchange_at(address: SocketAddr, bytes: &[u8]) -> String {
+    let Ok(mut stream) = TcpStream::connect(address) else { return String::new() };
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let mut answer = Vec::new();
+    let _ = stream.write_all(bytes).and_then(|()| stream.read_to_end(&mut answer).map(drop));
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+fn operate_at(admin: SocketAddr, method: &str, path: &str) -> String {
+    exchange_at(admin, format!("{method} {path} HTTP/1.1\r\nHost: f\r\n\r\n").as_bytes())
+}
+
+pub fn hand_in_at(listen: SocketAddr, letter: &Letter) -> u16 {
+    let answer = exchange_at(listen, &letter.bytes());
+    answer.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+}
+
+/// A process that a new version has been started beside.
+pub struct Old {
+    admin: SocketAddr,
+    child: Child,
+}
+
+impl Old {
+    pub fn operate(&self, method: &str, path: &str) -> String {
+        operate_at(self.admin, method, path)
+    }
+
+    pub fn signal(&self, name: &str) {
+        signal(&self.child, name);
+    }
+
+    pub fn wait(&mut self) -> ExitStatus {
+        wait(&mut self.child)
+    }
+}
+
+impl Drop for Old {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
     }
 }
 
