Give the clock, messages, and the node's part of an upgrade files of their own

No change of behaviour. With a test that a successor decides as its predecessor would have; it fails when one of the fields that go along is left out.

--- a/src/bin/foldtrack/clients.rs
+++ b/src/bin/foldtrack/clients.rs
@@ -1,6 +1,8 @@
 //! The HTTP server that clients hand their messages in to.
 
-use crate::node::{Answer, Clock, Input, Inputs, Message, Stage};
+use crate::clock::Clock;
+use crate::message::Message;
+use crate::node::{Answer, Input, Inputs, Stage};
 use crate::places::{Place, Places};
 use bytes::Bytes;
 use hatchline::settings::Parsed;
--- a/src/bin/foldtrack/main.rs
+++ b/src/bin/foldtrack/main.rs
@@ -3,24 +3,27 @@
 #![warn(missing_docs)]
 
 mod clients;
+mod clock;
 mod config;
 mod door;
 mod figures;
 mod journal;
+mod message;
 mod node;
 mod out;
 mod places;
 mod platform;
+mod relay;
 mod tally;
 mod targets;
 mod upgrade;
 
 use config::Config;
 use node::Input;
+use relay::Rest;
 use std::os::unix::process::CommandExt;
 use std::process::{Command, ExitCode};
 use tokio::signal::unix::{signal, SignalKind};
-use upgrade::Rest;
 
 async fn run(config: Config) -> Result<Rest, String> {
     let (inputs, receiver) = node::channel();
--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -2,36 +2,38 @@
 //! comes in as [`Input`]s; what the module decides goes out, in its order.
 
 use crate::clients::{self, Desk};
+use crate::clock::Clock;
 use crate::config::Config;
 use crate::door::{self, Ask, Told};
 use crate::figures::{Ended, Figures};
-use crate::journal::{Accepted, Fate, Journal, Notice, Record, Restored};
+use crate::journal::{Fate, Journal, Notice, Record, Restored};
+use crate::message::{order_key, Message};
 use crate::out::{self, TakenOut};
 use crate::places::Places;
 use crate::platform::{self, ServerList, ServerState};
+use crate::relay::Rest;
 use crate::tally::{Standing, Tally};
 use crate::targets::{self, Call, CallEnd, IdleConnections};
-use crate::upgrade::{self, Estate, HeldState, LeftCall, Lock, Offer, Predecessor, Remainder, Rest, Start};
-use bytes::Bytes;
+use crate::upgrade::{self, Lock, Start};
 use hatchline::settings::Parsed;
 use hatchline::{Action, Brain, Endpoint, EndpointState, Event, ListKind, Micros, Outcome, TargetId};
 use hyper::StatusCode;
 use serde_json::json;
-use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::hash::{Hash, Hasher};
 use std::io;
-use std::net::{SocketAddr, TcpListener as StdListener};
+use std::net::SocketAddr;
 use std::os::fd::{AsFd, OwnedFd};
 use std::os::unix::net::UnixStream;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::sync::{oneshot, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep_until, timeout, Instant};
 
+mod succession;
+
 /// Inputs that one round takes in at most.
 const ROUND: usize = 1024;
 /// After SIGTERM: how long connections are still accepted, and by when the process has ended.
@@ -47,114 +49,6 @@
 const FIRST_LIST: Duration = Duration::from_millis(250);
 const SWEEP: Duration = Duration::from_secs(1);
 
-/// Monotonic microseconds for the module, and their relation to Unix time for the journal.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Clock {
-    start: Instant,
-    base: Micros,
-    unix_start: Micros,
-}
-
-impl Clock {
-    /// The count starts here, so that times before the start can be named too.
-    const BASE: Micros = 1 << 40;
-
-    pub fn new() -> Clock {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), base: Self::BASE, unix_start: unix.as_micros() as Micros }
-    }
-
-    /// Goes on with another process's clock, of which this was the time at this time of day.
-    fn continuing(now: Micros, unix: Micros) -> Clock {
-        let fresh = Clock::new();
-        Clock { base: now + fresh.unix_start.saturating_sub(unix), ..fresh }
-    }
-
-    pub fn now(&self) -> Micros {
-        self.base + self.start.elapsed().as_micros() as Micros
-    }
-
-    fn instant(&self, at: Micros) -> Instant {
-        self.start + Duration::from_micros(at.saturating_sub(self.base))
-    }
-
-    fn micros(&self, at: Instant) -> Micros {
-        self.base + at.saturating_duration_since(self.start).as_micros() as Micros
-    }
-
-    fn unix(&self, at: Micros) -> Micros {
-        (self.unix_start + at).saturating_sub(self.base)
-    }
-
-    fn since_unix(&self, unix: Micros) -> Micros {
-        (self.base + unix).saturating_sub(self.unix_start)
-    }
-}
-
-/// A message as it was handed in.
-#[derive(Debug)]
-pub(crate) struct Message {
-    pub id: String,
-    pub class: usize,
-    pub destination: u32,
-    pub key: String,
-    pub idempotency_key: Option<String>,
-    pub retry: Option<String>,
-    pub expires: Micros,
-    pub body: Bytes,
-}
-
-impl Message {
-    /// Bytes that it takes in the journal, about.
-    fn size(&self) -> usize {
-        let key = self.idempotency_key.as_ref().map_or(0, String::len);
-        self.body.len() + self.id.len() + self.key.len() + key + 128
-    }
-
-    fn order_key(&self) -> u64 {
-        order_key(&self.key)
-    }
-
-    /// As the journal has it.
-    pub fn accepted(&self, settings: &Parsed, clock: &Clock) -> Accepted {
-        Accepted {
-            id: self.id.clone(),
-            class: settings.class_names.get(self.class).cloned().unwrap_or_default(),
-            destination: self.destination,
-            key: self.key.clone(),
-            idempotency_key: self.idempotency_key.clone(),
-            retry: self.retry.clone(),
-            expires: clock.unix(self.expires),
-            body: self.body.to_vec(),
-        }
-    }
-
-    /// The other way; the class is past all that the settings have if they do not name it any more.
-    pub fn of(accepted: Accepted, settings: &Parsed, clock: &Clock) -> Message {
-        let class = settings.class_names.iter().position(|n| *n == accepted.class);
-        Message {
-            id: accepted.id,
-            class: class.unwrap_or(usize::MAX),
-            destination: accepted.destination,
-            key: accepted.key,
-            idempotency_key: accepted.idempotency_key,
-            retry: accepted.retry,
-            expires: clock.since_unix(accepted.expires),
-            body: accepted.body.into(),
-        }
-    }
-}
-
-/// The module's name for a key, 0 for none; two keys that share one only wait for each other.
-fn order_key(key: &str) -> u64 {
-    if key.is_empty() {
-        return 0;
-    }
-    let mut hasher = DefaultHasher::new();
-    key.hash(&mut hasher);
-    hasher.finish().max(1)
-}
-
 /// How far the process is from its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Stage {
@@ -451,111 +345,6 @@
         }
         Ok(node)
     }
-
-    /// Goes on where another process stops; with an error that one goes on.
-    fn succeeding(config: &Config, inputs: &Inputs, offer: Offer) -> io::Result<(Node, StdListener)> {
-        let settings = config.settings.settings.clone();
-        let brain = Brain::take_over(&offer.estate.brain, settings).map_err(io::Error::other)?;
-        let clock = Clock::continuing(offer.estate.now, offer.estate.unix);
-        let (mut node, restored) = Node::new(config, inputs, clock, brain)?;
-        let (estate, lock, listener, stream) = offer.accept()?;
-        node.lock = Some(lock);
-        let reserved = node.places.reserve(estate.clients);
-        let (calls, answering) = node.inherit(estate, restored);
-        let (inputs, settings) = (inputs.clone(), config.settings.clone());
-        let predecessor = Predecessor { inputs, settings, calls, answering, reserved, clock };
-        tokio::spawn(async move {
-            if let Err(error) = predecessor.attend(stream).await {
-                eprintln!("upgrade: the old process cannot be heard: {error}");
-            }
-        });
-        Ok((node, listener))
-    }
-
-    /// Takes in what the old process knows beside the journal; gives the calls that it still has, and the messages
-    /// whose clients it is telling that they are taken on.
-    fn inherit(
-        &mut self, estate: Estate, mut restored: BTreeMap<u64, Restored>,
-    ) -> (Vec<LeftCall>, BTreeSet<u64>) {
-        self.next_number = self.next_number.max(estate.next_number);
-        self.timers = estate.timers.into_iter().collect();
-        for (name, address, zone, era) in estate.servers {
-            self.target_ids.insert(name, self.servers.len() as TargetId);
-            self.servers.push(Server { address, zone, era });
-        }
-        let mut answering = BTreeSet::new();
-        for HeldState { number, attempts, told, waiting } in estate.messages {
-            let Some(known) = restored.remove(&number) else {
-                // Lost to the journal by an error that was logged: nothing can be sent of it.
-                self.handle(Event::Lapsed { id: number });
-                continue;
-            };
-            let message = Arc::new(Message::of(known.accepted, &self.settings, &self.clock));
-            let taken = if told { Taken::On } else { Taken::Answering };
-            answering.extend((!told).then_some(number));
-            let waiting =
-                waiting.map(|(attempt, target, until, decided)| Waiting { attempt, target, until, decided });
-            self.messages.insert(number, Held { message, taken, attempts, waiting });
-        }
-        // What is left has ended, and its notice is to be taken yet.
-        for (number, message) in restored {
-            self.restore(number, message);
-        }
-        let left = |(number, attempt, target): (u64, u32, TargetId)| {
-            let (cancel, cancelled) = oneshot::channel();
-            self.calls.insert((number, attempt), (target, cancel));
-            (number, attempt, target, cancelled)
-        };
-        (estate.calls.into_iter().map(left).collect(), answering)
-    }
-
-    /// Hands all to a successor. With an error it is still the owner.
-    fn hand_over(&self, successor: &UnixStream) -> io::Result<()> {
-        let (None, Some(listener), Some(lock)) = (self.terminated, &self.listener, &self.lock) else {
-            return Err(io::Error::other("this process is about to end"));
-        };
-        let now = self.clock.now();
-        let held = |(number, held): (&u64, &Held)| HeldState {
-            number: *number,
-            attempts: held.attempts,
-            told: matches!(held.taken, Taken::On),
-            waiting: held.waiting.as_ref().map(|w| (w.attempt, w.target, w.until, w.decided)),
-        };
-        let named = |(name, target): (&String, &TargetId)| {
-            let Server { address, zone, era } = self.servers[*target as usize];
-            (*target, (name.clone(), address, zone, era))
-        };
-        let servers: BTreeMap<_, _> = self.target_ids.iter().map(named).collect();
-        let estate = Estate {
-            now,
-            unix: self.clock.unix(now),
-            brain: self.brain.hand_over().map_err(io::Error::other)?,
-            next_number: self.next_number,
-            messages: self.messages.iter().map(held).collect(),
-            calls: self.calls.iter().map(|((number, attempt), call)| (*number, *attempt, call.0)).collect(),
-            servers: servers.into_values().collect(),
-            timers: self.timers.iter().copied().collect(),
-            clients: self.places.taken(),
-        };
-        upgrade::offer(successor, &estate, listener, lock)
-    }
-
-    /// What is left for this process to do once it has handed over; the lock and the log are the successor's.
-    fn into_remainder(self) -> Remainder {
-        self.stage.send_replace(Stage::Succeeded);
-        Remainder {
-            calls: self.calls.into_iter().map(|(call, (_, cancel))| (call, cancel)).collect(),
-            figures: self.figures,
-            pool: self.brain.pool(),
-            inputs: self.inputs,
-            settings: self.settings,
-            clock: self.clock,
-            stage: self.stage,
-            places: self.places,
-            accept_on: ACCEPT_ON,
-            end_by: END_BY,
-        }
-    }
 }
 
 impl Node {
--- /dev/null
+++ b/src/bin/foldtrack/node/succession.rs
@@ -0,0 +1,126 @@
+//! The node's part of an upgrade: what it passes on as the owner, and how it goes on where another one stopped.
+
+use super::{Held, Node, Server, Stage, Taken, Waiting, ACCEPT_ON, END_BY};
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::journal::Restored;
+use crate::message::Message;
+use crate::node::Inputs;
+use crate::relay::{LeftCall, Predecessor, Remainder};
+use crate::upgrade::{self, Estate, HeldState, Offer};
+use hatchline::{Brain, Event, TargetId};
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::net::TcpListener as StdListener;
+use std::os::unix::net::UnixStream;
+use std::sync::Arc;
+use tokio::sync::oneshot;
+
+impl Node {
+    /// Goes on where another process stops; with an error that one goes on.
+    pub(super) fn succeeding(
+        config: &Config, inputs: &Inputs, offer: Offer,
+    ) -> io::Result<(Node, StdListener)> {
+        let settings = config.settings.settings.clone();
+        let brain = Brain::take_over(&offer.estate.brain, settings).map_err(io::Error::other)?;
+        let clock = Clock::continuing(offer.estate.now, offer.estate.unix);
+        let (mut node, restored) = Node::new(config, inputs, clock, brain)?;
+        let (estate, lock, listener, stream) = offer.accept()?;
+        node.lock = Some(lock);
+        let reserved = node.places.reserve(estate.clients);
+        let (calls, answering) = node.inherit(estate, restored);
+        let (inputs, settings) = (inputs.clone(), config.settings.clone());
+        let predecessor = Predecessor { inputs, settings, calls, answering, reserved, clock };
+        tokio::spawn(async move {
+            if let Err(error) = predecessor.attend(stream).await {
+                eprintln!("upgrade: the old process cannot be heard: {error}");
+            }
+        });
+        Ok((node, listener))
+    }
+
+    /// Takes in what the old process knows beside the journal; gives the calls that it still has, and the messages
+    /// whose clients it is telling that they are taken on.
+    fn inherit(
+        &mut self, estate: Estate, mut restored: BTreeMap<u64, Restored>,
+    ) -> (Vec<LeftCall>, BTreeSet<u64>) {
+        self.next_number = self.next_number.max(estate.next_number);
+        self.timers = estate.timers.into_iter().collect();
+        for (name, address, zone, era) in estate.servers {
+            self.target_ids.insert(name, self.servers.len() as TargetId);
+            self.servers.push(Server { address, zone, era });
+        }
+        let mut answering = BTreeSet::new();
+        for HeldState { number, attempts, told, waiting } in estate.messages {
+            let Some(known) = restored.remove(&number) else {
+                // Lost to the journal by an error that was logged: nothing can be sent of it.
+                self.handle(Event::Lapsed { id: number });
+                continue;
+            };
+            let message = Arc::new(Message::of(known.accepted, &self.settings, &self.clock));
+            let taken = if told { Taken::On } else { Taken::Answering };
+            answering.extend((!told).then_some(number));
+            let waiting =
+                waiting.map(|(attempt, target, until, decided)| Waiting { attempt, target, until, decided });
+            self.messages.insert(number, Held { message, taken, attempts, waiting });
+        }
+        // What is left has ended, and its notice is to be taken yet.
+        for (number, message) in restored {
+            self.restore(number, message);
+        }
+        let left = |(number, attempt, target): (u64, u32, TargetId)| {
+            let (cancel, cancelled) = oneshot::channel();
+            self.calls.insert((number, attempt), (target, cancel));
+            (number, attempt, target, cancelled)
+        };
+        (estate.calls.into_iter().map(left).collect(), answering)
+    }
+
+    /// Hands all to a successor. With an error it is still the owner.
+    pub(super) fn hand_over(&self, successor: &UnixStream) -> io::Result<()> {
+        let (None, Some(listener), Some(lock)) = (self.terminated, &self.listener, &self.lock) else {
+            return Err(io::Error::other("this process is about to end"));
+        };
+        let now = self.clock.now();
+        let held = |(number, held): (&u64, &Held)| HeldState {
+            number: *number,
+            attempts: held.attempts,
+            told: matches!(held.taken, Taken::On),
+            waiting: held.waiting.as_ref().map(|w| (w.attempt, w.target, w.until, w.decided)),
+        };
+        let named = |(name, target): (&String, &TargetId)| {
+            let Server { address, zone, era } = self.servers[*target as usize];
+            (*target, (name.clone(), address, zone, era))
+        };
+        let servers: BTreeMap<_, _> = self.target_ids.iter().map(named).collect();
+        let estate = Estate {
+            now,
+            unix: self.clock.unix(now),
+            brain: self.brain.hand_over().map_err(io::Error::other)?,
+            next_number: self.next_number,
+            messages: self.messages.iter().map(held).collect(),
+            calls: self.calls.iter().map(|((number, attempt), call)| (*number, *attempt, call.0)).collect(),
+            servers: servers.into_values().collect(),
+            timers: self.timers.iter().copied().collect(),
+            clients: self.places.taken(),
+        };
+        upgrade::offer(successor, &estate, listener, lock)
+    }
+
+    /// What is left for this process to do once it has handed over; the lock and the log are the successor's.
+    pub(super) fn into_remainder(self) -> Remainder {
+        self.stage.send_replace(Stage::Succeeded);
+        Remainder {
+            calls: self.calls.into_iter().map(|(call, (_, cancel))| (call, cancel)).collect(),
+            figures: self.figures,
+            pool: self.brain.pool(),
+            inputs: self.inputs,
+            settings: self.settings,
+            clock: self.clock,
+            stage: self.stage,
+            places: self.places,
+            accept_on: ACCEPT_ON,
+            end_by: END_BY,
+        }
+    }
+}
--- a/src/bin/foldtrack/targets.rs
+++ b/src/bin/foldtrack/targets.rs
@@ -1,6 +1,7 @@
 //! Calls to targets: one call and its outcome, and the connections that stand idle between calls.
 
-use crate::node::{Input, Inputs, Message};
+use crate::message::Message;
+use crate::node::{Input, Inputs};
 use bytes::Bytes;
 use hatchline::{LimitReport, Outcome, TargetId};
 use http_body_util::{BodyExt, Limited};
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -420,3 +420,45 @@
     assert!(warm * 4 > all, "{warm} of {all} calls once it was warm");
     field.kept();
 }
+
+/// Another process goes on as this one would have: with all its waits, windows, gates and times.
+#[test]
+fn a_successor_does_all_that_its_predecessor_would_have_done() {
+    let trace = |handover: bool| {
+        let mut field = Field::new(
+            settings(vec![class(Effect::Keyed), class(Effect::Unsafe)]),
+            (1..=6).map(|n| endpoint(n, n.div_ceil(2))).collect(),
+        );
+        // Each way an attempt can end comes up, by message and time alone.
+        let answer = |now: u64, id: MessageId, a: &Sent| match id % 41 {
+            _ if now < a.at + (20 + id % 7 * 15) * MS => None,
+            0 => None,
+            1 => Some((Outcome::Full, 700 * MS)),
+            2 => Some((Outcome::Full, 0)),
+            3 => Some((Outcome::Reset, 0)),
+            4 => Some((Outcome::ConnectFailed, 0)),
+            _ => Some((Outcome::Ok, 0)),
+        };
+        for round in 0..150 {
+            for n in 0..3 {
+                field.request(round % 2, (round % 3) as u32 + 1, 0);
+                field.run((10 + n * 15) * MS, answer);
+            }
+            if round == 40 {
+                field.feed(Event::ByHand { target: 5, out: true });
+            }
+            if handover && round % 5 == 0 {
+                let left = field.brain.hand_over().unwrap();
+                field.brain = Brain::take_over(&left, field.settings.clone()).unwrap();
+            }
+        }
+        field.run(5 * S, answer);
+        field.kept();
+        field.trace.into_iter().filter(|(_, a)| !matches!(a, Action::Log { .. })).collect::<Vec<_>>()
+    };
+    let (alone, handed_over) = (trace(false), trace(true));
+    assert!(alone.iter().filter(|(_, a)| matches!(a, Action::Send { .. })).count() > 100);
+    let differ = alone.iter().zip(&handed_over).position(|(a, b)| a != b);
+    assert_eq!(differ.map(|at| (&alone[at], &handed_over[at])), None);
+    assert_eq!(alone.len(), handed_over.len());
+}
