--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -245,7 +245,8 @@
             },
         }
     };
-    let watching = tokio::spawn(platform::watch(node.discovery.subscribe(), inputs.clone()));
+    let senders = config.settings.settings.senders;
+    let watching = tokio::spawn(platform::watch(node.discovery.subscribe(), senders, inputs.clone()));
     let mut batch = Vec::new();
     let listener = match listener {
         Some(listener) => TcpListener::from_std(listener)?,
--- a/src/bin/foldtrack/platform.rs
+++ b/src/bin/foldtrack/platform.rs
@@ -3,7 +3,7 @@
 use crate::node::{Input, Inputs};
 use crate::targets::{Connection, Payload};
 use bytes::Bytes;
-use hyper::header::{CONTENT_TYPE, HOST};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HOST};
 use hyper::{Method, Request, StatusCode};
 use serde::{Deserialize, Deserializer};
 use serde_json::Value;
@@ -18,6 +18,14 @@
 /// Pauses after a failure: doubled each time, from the first to the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+/// The same in a fleet of more than [`FEW`]: a call that waits takes a place at discovery, and may queue for one. The
+/// next call follows at once, or it would count as a new watch, which costs discovery more.
+const FLEET_WATCH: Duration = Duration::from_secs(1);
+const FLEET_LATE: Duration = Duration::from_secs(3);
+const FEW: u32 = 4;
+/// Discovery serves a whole fleet, and what it turns away costs it nearly as much as what it answers. A call that
+/// was turned away comes again after so long for each forwarder in the fleet.
+const TURNED_AWAY_PAUSE: Duration = Duration::from_millis(125);
 /// An agent that answers each watch at once, without news, is not asked more often than this.
 const EMPTY_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_LIST: usize = 4 << 20;
@@ -75,6 +83,11 @@
     };
     let response = open.send(request).await.ok()?;
     let status = response.status();
+    let closes =
+        response.headers().get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
+    if closes && !status.is_success() {
+        return Some((status, Bytes::new()));
+    }
     let body = open.finish(response.into_body(), LONGEST_LIST).await?;
     *connection = Some(open);
     Some((status, body))
@@ -84,30 +97,32 @@
     Request::get(path).header(HOST, address.to_string()).body(Payload::uncounted(Bytes::new())).ok()
 }
 
-/// Watches the list for as long as the process runs, wherever discovery is.
-pub(crate) async fn watch(mut discovery: watch::Receiver<SocketAddr>, inputs: Inputs) {
+/// Watches the list for as long as the process runs, wherever discovery is, as one of so many forwarders.
+pub(crate) async fn watch(mut discovery: watch::Receiver<SocketAddr>, senders: u32, inputs: Inputs) {
     loop {
         let address = *discovery.borrow_and_update();
         tokio::select! {
-            () = watch_at(address, inputs.clone()) => return,
+            () = watch_at(address, senders, inputs.clone()) => return,
             moved = discovery.changed() => if moved.is_err() { return },
         }
     }
 }
 
 /// Watches the list at one address, from the whole list on: another agent's answers need not go on from the last.
-async fn watch_at(address: SocketAddr, inputs: Inputs) {
+async fn watch_at(address: SocketAddr, senders: u32, inputs: Inputs) {
     let mut connection = None;
     let mut version: Option<u64> = None;
     let mut pause = FIRST_PAUSE;
+    let mut turned_away = 0;
+    let (wait, late) = if senders > FEW { (FLEET_WATCH, FLEET_LATE) } else { (WATCH, WATCH_LATE) };
     loop {
         let path = match version {
-            Some(v) => format!("/v1/servers?since={v}&timeout_ms={}", WATCH.as_millis()),
+            Some(v) => format!("/v1/servers?since={v}&timeout_ms={}", wait.as_millis()),
             None => "/v1/servers".to_string(),
         };
         let asked = Instant::now();
         let answer = match get(address, &path) {
-            Some(request) => timeout(WATCH + WATCH_LATE, exchange(&mut connection, address, request)).await,
+            Some(request) => timeout(wait + late, exchange(&mut connection, address, request)).await,
             None => Ok(None),
         };
         let Ok(Some((status, body))) = answer else {
@@ -117,6 +132,15 @@
             pause = (2 * pause).min(LONGEST_PAUSE);
             continue;
         };
+        if matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
+            // It is there, and has too much to do: calls that come again soon would keep it so.
+            turned_away += 1;
+            connection = None;
+            let pause = TURNED_AWAY_PAUSE * senders * turned_away.min(2);
+            sleep(pause.mul_f64(0.5 + fastrand::f64())).await;
+            continue;
+        }
+        turned_away = 0;
         match serde_json::from_slice::<ServerList>(&body) {
             Ok(list) if status == StatusCode::OK => {
                 pause = FIRST_PAUSE;
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -133,6 +133,23 @@
     eventually("discovery is asked again", || platform.server.seen().len() > 3);
 }
 
+/// Found on fleets of 48: their calls, made again at once, kept discovery too busy to answer any of them.
+#[test]
+fn a_discovery_that_turns_calls_away_is_left_alone_for_a_while() {
+    let target = Server::start(|_| OK);
+    let platform = Platform::start(vec![line("s-1", target.address, 1, "active")]);
+    platform.server.behave(|_| Reply::Status(503, "Connection: close\r\n"));
+    let forwarder = Forwarder::start_with(&platform, |c| c["settings"]["balancers"] = 20.into());
+    eventually("three calls", || platform.server.seen().len() >= 3);
+    let calls = platform.server.seen();
+    for pair in calls.windows(2) {
+        let pause = pair[1].at - pair[0].at;
+        assert!(pause >= MS(900), "called again after {pause:?}");
+    }
+    assert_eq!(forwarder.hand_in(&fee("m1")), 202);
+    eventually("the call", || target.ids() == ["m1"]);
+}
+
 #[test]
 fn a_silent_target_gets_no_second_unsafe_attempt_and_the_end_is_told_in_time() {
     let (target, platform, forwarder) = one_target(|_| Reply::Silence);
