--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -534,7 +534,8 @@
         if full || !self.journal.has_room(message.size()) {
             self.tally.refused += 1;
             self.figures.ended(message.class, Ended::Shed);
-            let _ = reply.send(Answer::Refused { retry_in_ms: 0 });
+            let retry_in_ms = self.brain.advice(message.destination).div_ceil(1000);
+            let _ = reply.send(Answer::Refused { retry_in_ms });
             return;
         }
         let id = self.next_number;
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -405,7 +405,7 @@
     }
 
     /// How long a client should stay away: until its destination takes calls and has served its queue.
-    fn advice(&self, destination: DestinationId) -> Micros {
+    pub fn advice(&self, destination: DestinationId) -> Micros {
         let d = self.destinations.get(&destination).filter(|_| self.s.may_advise_wait);
         let served_in = |l: &Lane, queued: usize| (queued as f64 / l.rate.max(1.0) * SECOND) as Micros;
         let wait = |l: &Lane, queued| l.opens_at().saturating_sub(self.now) + served_in(l, queued);
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -393,6 +393,25 @@
     watched(&forwarder);
 }
 
+/// The module never sees such a message, but its client is owed the same advice.
+#[test]
+fn a_client_turned_away_for_want_of_room_is_told_when_to_come_back() {
+    let target = Server::start(|_| Reply::Status(429, "X-Come-Back-Ms: 9000\r\n"));
+    let platform = Platform::start(vec![line("s-1", target.address, 1, "active")]);
+    let forwarder = Forwarder::start_with(&platform, |c| {
+        c["limits"]["disk_mb"] = 0.4.into();
+        c["settings"]["limits"]["retry_after"] = true.into();
+        c["settings"]["limits"]["max_retry_after"] = 2_000_000.into();
+    });
+    assert_eq!(forwarder.hand_in(&fee("m1")), 202);
+    eventually("the wait is told", || target.seen().len() == 1);
+    sleep(MS(50));
+    let letter = |n: usize| fee(&format!("n{n}")).body(vec![7; 30_000]);
+    let answers = (0..20).map(|n| forwarder.exchange(&letter(n).bytes()).to_lowercase());
+    let refused = answers.into_iter().find(|a| !a.starts_with("http/1.1 202")).expect("no room any more");
+    assert!(refused.starts_with("http/1.1 503") && refused.contains("retry-after: 2.000"), "{refused}");
+}
+
 /// Frozen while a client hands in and leaves: the client hands the message in elsewhere.
 #[test]
 fn a_message_whose_client_has_gone_before_the_answer_is_not_sent() {
