--- a/src/brain.rs
+++ b/src/brain.rs
@@ -630,8 +630,8 @@
         }
     }
 
-    /// This sender's part of a cautious share of what would push over what is cold since then, rising over the
-    /// ramp. Does harm where it was not cold.
+    /// This sender's part of a cautious share of what would push over what is cold since then, rising over
+    /// the ramp. Does harm where it was not cold.
     pub(crate) fn cold_rate(&self, lane: usize, since: Micros) -> f64 {
         let r = &self.s.rules;
         let part = ((self.now - since) as f64 / r.ramp_time.max(1) as f64).min(1.0);
--- a/src/by_hand.rs
+++ b/src/by_hand.rs
@@ -5,8 +5,8 @@
 use crate::state::*;
 
 impl Brain {
-    /// What operators say stands beside the list: no change of the list undoes it. Connections from before are
-    /// not used again, the endpoint's process may be another by then.
+    /// What operators say stands beside the list: no change of the list undoes it. Connections from before
+    /// are not used again: the endpoint's process may be another by then.
     pub(crate) fn by_hand(&mut self, target: TargetId, out: bool) {
         if !out && self.taken_out.remove(&target) {
             // It may have been started anew meanwhile.
--- a/src/handover.rs
+++ b/src/handover.rs
@@ -7,9 +7,9 @@
 pub const FORMAT: u32 = 1;
 
 impl Brain {
-    /// All that this sender knows goes along: its messages and calls, told waits, cold destinations, what is out by
-    /// hand, and what it has learned of answer times and rates. A successor that began anew would push over what is
-    /// cold and call what is to rest. The settings stay: the successor has its own.
+    /// All that this sender knows goes along: its messages and calls, told waits, cold destinations, what is
+    /// out by hand, and what it has learned of answer times and rates. A successor that began anew would push
+    /// over what is cold and call what is to rest. The settings stay: the successor has its own.
     pub fn hand_over(&self) -> Result<Vec<u8>, postcard::Error> {
         postcard::to_stdvec(self)
     }
