A list or a notice's answer counts though discovery closes its connection

A whole answer with «Connection: close» was taken as none: the list was asked for again and again, and a notice sent again after it was taken.

--- a/src/bin/foldtrack/platform.rs
+++ b/src/bin/foldtrack/platform.rs
@@ -3,6 +3,7 @@
 use crate::node::{Input, Inputs};
 use crate::targets::{Connection, Payload};
 use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
 use hyper::header::{CONNECTION, CONTENT_TYPE, HOST};
 use hyper::{Method, Request, StatusCode};
 use serde::{Deserialize, Deserializer};
@@ -85,8 +86,10 @@
     let status = response.status();
     let closes =
         response.headers().get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
-    if closes && !status.is_success() {
-        return Some((status, Bytes::new()));
+    if closes {
+        // A whole answer, but no connection for the next call.
+        let body = Limited::new(response.into_body(), LONGEST_LIST).collect().await.ok()?;
+        return Some((status, body.to_bytes()));
     }
     let body = open.finish(response.into_body(), LONGEST_LIST).await?;
     *connection = Some(open);
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -133,6 +133,22 @@
     eventually("discovery is asked again", || platform.server.seen().len() > 3);
 }
 
+#[test]
+fn a_list_counts_though_its_connection_closes() {
+    let (old, new) = (Server::start(|_| OK), Server::start(|_| OK));
+    let platform = Platform::start(vec![line("s-1", old.address, 1, "active")]);
+    let list =
+        format!(r#"{{"version":2,"full":true,"servers":[{}]}}"#, line("s-2", new.address, 1, "active"));
+    let answer =
+        format!("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{list}", list.len());
+    let answer: &'static str = answer.leak();
+    platform.server.behave(|_| Reply::Raw(answer.as_bytes()));
+    let forwarder = Forwarder::start(&platform);
+    assert_eq!(forwarder.hand_in(&fee("m1")), 202);
+    eventually("the call", || new.ids() == ["m1"]);
+    assert!(old.seen().is_empty());
+}
+
 /// Found on fleets of 48: their calls, made again at once, kept discovery too busy to answer any of them.
 #[test]
 fn a_discovery_that_turns_calls_away_is_left_alone_for_a_while() {
