Keep what a refused fleet falls back to within the listed limit

Cause: judge(), Outcome::Full. The first pace after a refusal (SECOND / half_aim, 0.67 a second), its floor (least_pace, 0.5) and the smoothed rate of answers (0.5 after a single one) are the same for each sender whatever their number: 50 to 67 calls a second from a hundred. Ruled out: the pause after a refusal. Now: the first pace is at most the even part of the listed limit, the floor at most half of it, and a rate above it counts by the weight of its answers. Where the part is more than these figures nothing changes.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -32,8 +32,12 @@
 const PACE_DOWN: f64 = 0.7;
 const PACE_UP: f64 = 0.08;
 const PACE_RISE: f64 = 0.005;
+/// Part of its even part of a known limit that refusals leave a sender: all at this floor stay within it.
+const PACE_FLOOR: f64 = 0.5;
 /// Weight that the rate of served calls keeps over a span of upkeep.
 const RATE_KEEP: f64 = 0.95;
+/// The span in seconds that the rate of served calls stands for.
+const RATE_SPAN: f64 = UPKEEP as f64 / SECOND / (1.0 - RATE_KEEP);
 /// Part of the room for held messages that is kept free.
 const KEEP_FREE: f64 = 0.05;
 /// Unanswered call time, in mean answer times, that makes silence unlikely to be chance.
@@ -538,9 +542,13 @@
                 l.full_run += 1;
                 l.trouble.get_or_insert(self.now);
                 if l.halve(sent, self.now) {
-                    // Never under what is being served: that much there is room for.
-                    let down = if l.pace > 0.0 { l.pace * PACE_DOWN } else { SECOND / half_aim };
-                    l.pace = down.max(l.rate).max(least_pace);
+                    // Not under what is surely being served: that much there is room for. One answer alone
+                    // says little, and what all senders fall back to stays within a known limit.
+                    let part = l.even_part(self.s.senders);
+                    let down = if l.pace > 0.0 { l.pace * PACE_DOWN } else { (SECOND / half_aim).min(part) };
+                    let (over, answers) = ((l.rate - part).max(0.0), l.rate * RATE_SPAN);
+                    let served = l.rate.min(part) + over * answers / (answers + 1.0);
+                    l.pace = down.max(least_pace.min(PACE_FLOOR * part)).max(served);
                 }
                 let run = f64::from(l.full_run.min(6));
                 let pause = (l.times.mean() * jitter * run).min(half_aim);
@@ -945,6 +953,15 @@
         }
     }
 
+    /// What falls to each sender of a known limit.
+    fn even_part(&self, senders: u32) -> f64 {
+        if self.limit > 0.0 {
+            self.limit / f64::from(senders.max(1))
+        } else {
+            f64::INFINITY
+        }
+    }
+
     /// A known limit starts the pace at an even part, where that is more than chance brings within an aim.
     fn limit_is(&mut self, rate: f64, senders: u32, aim: f64) {
         if self.limit <= 0.0 {
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,109 @@
+//! Many senders that share nothing: what is harmless for each alone must stay so when all do it. They are told the
+//! same things by hand, and what they send together is counted.
+
+mod common;
+
+use common::*;
+use hatchline::*;
+
+/// Time between two rounds of all senders.
+const ROUND: u64 = 10 * MS;
+
+/// Senders of one fleet, each with its own seed, that have one destination.
+struct Fleet {
+    now: u64,
+    senders: Vec<Brain>,
+    /// Calls out: sender, message, attempt, time of the send.
+    calls: Vec<(usize, MessageId, u32, u64)>,
+    attempts: Vec<u32>,
+}
+
+impl Fleet {
+    fn new(senders: u32, limit: f64) -> Fleet {
+        let class = Class { aim: 3 * S, deadline: 12 * S, window: 12 * S, ..class(Effect::Keyed) };
+        let settings = Settings {
+            senders,
+            slots: 4,
+            listed_rate: ListedRate::Exact,
+            refused_price: 0.1,
+            ..settings(vec![class])
+        };
+        let now = 5 * S;
+        let born = |n: u32| Brain::new(now, u64::from(n) * 7919 + 1, settings.clone());
+        let senders = (0..senders).map(born).collect();
+        let mut fleet = Fleet { now, senders, calls: Vec::new(), attempts: Vec::new() };
+        let endpoints = vec![Endpoint { rate: limit, ..endpoint(1, 1) }];
+        fleet.tell(|_| Event::List { kind: ListKind::Full, version: 1, endpoints: endpoints.clone() });
+        fleet
+    }
+
+    fn tell(&mut self, event: impl Fn(usize) -> Event) {
+        for (n, brain) in self.senders.iter_mut().enumerate() {
+            brain.handle(self.now, event(n), &mut Vec::new());
+        }
+    }
+
+    /// Hands a sender so many messages.
+    fn hand_in(&mut self, sender: usize, messages: usize) {
+        let expires = self.now + 12 * S;
+        for _ in 0..messages {
+            let id = self.attempts.len() as MessageId;
+            self.attempts.push(0);
+            let request = Event::Request { id, class: 0, destination: 1, order_key: 0, expires };
+            self.senders[sender].handle(self.now, request, &mut Vec::new());
+        }
+    }
+
+    /// Lets all senders decide once, and gives how many calls they make.
+    fn round(&mut self) -> usize {
+        self.now += ROUND;
+        let before = self.calls.len();
+        for (n, brain) in self.senders.iter_mut().enumerate() {
+            let mut actions = Vec::new();
+            brain.decide(self.now, &mut actions);
+            for action in actions {
+                if let Action::Send { id, .. } = action {
+                    let attempt = &mut self.attempts[id as usize];
+                    self.calls.push((n, id, *attempt, self.now));
+                    *attempt += 1;
+                }
+            }
+        }
+        self.calls.len() - before
+    }
+
+    /// Ends all calls that have been out for 100 ms.
+    fn answer(&mut self, outcome: Outcome) {
+        let due = self.now - 100 * MS;
+        let (ended, out) = self.calls.iter().partition(|(.., at)| *at <= due);
+        self.calls = out;
+        for (n, id, attempt, at) in Vec::from_iter::<Vec<_>>(ended) {
+            let (took, ended) = (self.now - at, outcome == Outcome::Ok);
+            let event =
+                Event::Outcome { id, attempt, target: 1, outcome, took, ended, wait: 0, report: None };
+            self.senders[n].handle(self.now, event, &mut Vec::new());
+        }
+    }
+
+    /// Calls of all in the given span, each answered so after 100 ms.
+    fn sent_in(&mut self, span: u64, outcome: Outcome) -> usize {
+        let rounds = 0..span / ROUND;
+        rounds.map(|_| (self.answer(outcome), self.round()).1).sum()
+    }
+}
+
+/// Refused calls use the limit up: a fleet that went on above it would never be served.
+#[test]
+fn a_fleet_that_was_refused_keeps_to_the_listed_limit() {
+    let mut fleet = Fleet::new(100, 25.0);
+    // One after the other gets its messages within a second, tries, and is refused.
+    for n in 0..100 {
+        fleet.hand_in(n, 6);
+        fleet.sent_in(ROUND, Outcome::Full);
+    }
+    fleet.sent_in(200 * MS, Outcome::Full);
+    let seconds: Vec<usize> = (0..8).map(|_| fleet.sent_in(S, Outcome::Ok)).collect();
+    let all: usize = seconds.iter().sum();
+    // The limit in eight seconds, to a quarter.
+    assert!((150..=250).contains(&all), "{seconds:?}");
+}
