Let a listed limit's bucket hold what chance brings, and drain it at a refusal

Cause: can_call() lets max(pace / 2, 1) calls be saved up, which is one for each sender of a hundred however long its rest, and judge() leaves the bucket as it stands at a refusal, so that those refused together come again together.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -549,6 +549,8 @@
                     let (over, answers) = ((l.rate - part).max(0.0), l.rate * RATE_SPAN);
                     let served = l.rate.min(part) + over * answers / (answers + 1.0);
                     l.pace = down.max(least_pace.min(PACE_FLOOR * part)).max(served);
+                    // What was saved up is gone, and those refused together do not come again together.
+                    l.tokens = if l.limit > 0.0 { l.tokens.min(0.0) + jitter - 1.5 } else { l.tokens };
                 }
                 let run = f64::from(l.full_run.min(6));
                 let pause = (l.times.mean() * jitter * run).min(half_aim);
@@ -656,7 +658,7 @@
             return Err(Micros::MAX); // it would be cut off, and may have run
         }
         let l = &self.lanes[lane];
-        let (mut rate, mut depth) = (l.pace, (l.pace / 2.0).max(1.0));
+        let (mut rate, mut depth) = (l.pace, l.depth(self.least_aim() / SECOND));
         if l.opens_at() > self.now {
             return Err(l.opens_at());
         }
@@ -962,6 +964,16 @@
         }
     }
 
+    /// Calls that may go at once after a rest. With a known limit as many as chance brings in an aim: in a
+    /// large fleet the part of each is less than one, and most of its calls come alone.
+    fn depth(&self, aim: f64) -> f64 {
+        if self.limit > 0.0 {
+            1.0 + 2.0 * (self.pace * aim).sqrt()
+        } else {
+            (self.pace / 2.0).max(1.0)
+        }
+    }
+
     /// A known limit starts the pace at an even part, where that is more than chance brings within an aim.
     fn limit_is(&mut self, rate: f64, senders: u32, aim: f64) {
         if self.limit <= 0.0 {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -107,3 +107,26 @@
     // The limit in eight seconds, to a quarter.
     assert!((150..=250).contains(&all), "{seconds:?}");
 }
+
+/// Those that were refused at one moment would all come again at one moment.
+#[test]
+fn a_fleet_that_was_refused_at_once_does_not_come_again_at_once() {
+    let mut fleet = Fleet::new(100, 25.0);
+    (0..100).for_each(|n| fleet.hand_in(n, 6));
+    fleet.sent_in(200 * MS, Outcome::Full);
+    // What the first pause after a refusal lets through is over by then.
+    fleet.sent_in(2 * S, Outcome::Ok);
+    let seconds: Vec<usize> = (0..6).map(|_| fleet.sent_in(S, Outcome::Ok)).collect();
+    assert!(seconds.iter().all(|n| *n <= 50), "{seconds:?}");
+}
+
+/// Each sends seldom: after a rest two calls of one sender are no more than chance, and need not wait for each other.
+#[test]
+fn a_sender_of_a_large_fleet_saves_up_calls() {
+    let mut fleet = Fleet::new(100, 25.0);
+    fleet.hand_in(0, 1);
+    fleet.sent_in(200 * MS, Outcome::Full);
+    fleet.sent_in(30 * S, Outcome::Ok);
+    fleet.hand_in(0, 2);
+    assert_eq!(fleet.sent_in(500 * MS, Outcome::Ok), 2);
+}
