Bring a pace back to the even part of a listed limit with few answers

Cause: judge(), Outcome::Ok raises the pace by 4.8% of itself with each answer; a sender of a hundred has one answer in a second or two, and needs twenty to come back from half.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -32,6 +32,8 @@
 const PACE_DOWN: f64 = 0.7;
 const PACE_UP: f64 = 0.08;
 const PACE_RISE: f64 = 0.005;
+/// Part of what a pace lacks of the even part of a known limit that each served call gives back.
+const PACE_BACK: f64 = 0.1;
 /// Part of its even part of a known limit that refusals leave a sender: all at this floor stay within it.
 const PACE_FLOOR: f64 = 0.5;
 /// Weight that the rate of served calls keeps over a span of upkeep.
@@ -521,7 +523,9 @@
                 let left = report.filter(|r| r.rate > 0.0).map_or(0.3, |r| r.share_left);
                 l.pace *= 1.0 + PACE_UP * (2.0 * left).min(1.0);
                 if l.limit > 0.0 {
-                    l.pace = l.pace.min(l.limit);
+                    // A sender of many has few answers: by its own parts it would not be back for a minute.
+                    let lack = (l.even_part(self.s.senders) - l.pace).max(0.0);
+                    l.pace = (l.pace + if l.pace > 0.0 { PACE_BACK * lack } else { 0.0 }).min(l.limit);
                 } else if l.pace > 4.0 * own.max(1.0) {
                     l.pace = 0.0;
                 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -130,3 +130,16 @@
     fleet.hand_in(0, 2);
     assert_eq!(fleet.sent_in(500 * MS, Outcome::Ok), 2);
 }
+
+/// A limit that was lowered for some seconds is used again soon, though each sender has few answers to learn it from.
+#[test]
+fn a_fleet_comes_back_to_the_listed_limit() {
+    let mut fleet = Fleet::new(100, 200.0);
+    (0..100).for_each(|n| fleet.hand_in(n, 10));
+    fleet.sent_in(9 * S, Outcome::Full);
+    (0..100).for_each(|n| fleet.hand_in(n, 30));
+    fleet.sent_in(5 * S, Outcome::Ok);
+    let sent = fleet.sent_in(5 * S, Outcome::Ok);
+    // Of the thousand that the limit takes in this span.
+    assert!((350..=1100).contains(&sent), "{sent}");
+}
