Keep connections to what was out: it denied them for that, not for a full table

From the return of destination 8 (second 11) to second 25 its answers took 110 to 175 ms (median), 33 before and after; 7,564 connections were made for 12,400 messages. Counted over all forwarders by debug lines. Cause: judge() takes each failed connection for a full table and closes connections after use for 15 s. After an outage that is a handshake for each call, paid by an endpoint that is cold, from a hundred forwarders. Now an answer that ends an outage ends the denials of the destination's endpoints too.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -585,6 +585,12 @@
             _ if l.failing > MOSTLY_FAILING || end.wait > self.s.rules.tip_after => self.shut(lane),
             _ => {}
         }
+        // What was out denied connections for that, not since its table was full: it is cold, and a handshake
+        // for each call would cost it more than the calls.
+        let back = matches!(was, Gate::Out { .. }) && !matches!(self.lanes[lane].gate, Gate::Out { .. });
+        for id in self.lanes[lane].targets.iter().filter(|_| back) {
+            self.targets.entry(*id).and_modify(|t| t.denied_until = 0);
+        }
         // Idle connections fill the table of an endpoint that takes few, or are dropped unseen: closed after
         // use where one was denied or this sender comes seldom. Costs a handshake if the next call was near.
         let l = &self.lanes[lane];
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -16,6 +16,8 @@
     /// Calls out: sender, message, attempt, time of the send.
     calls: Vec<(usize, MessageId, u32, u64)>,
     attempts: Vec<u32>,
+    /// How often idle connections were shut.
+    closed: usize,
 }
 
 impl Fleet {
@@ -31,7 +33,7 @@
         let now = 5 * S;
         let born = |n: u32| Brain::new(now, u64::from(n) * 7919 + 1, settings.clone());
         let senders = (0..senders).map(born).collect();
-        let mut fleet = Fleet { now, senders, calls: Vec::new(), attempts: Vec::new() };
+        let mut fleet = Fleet { now, senders, calls: Vec::new(), attempts: Vec::new(), closed: 0 };
         let endpoints = vec![Endpoint { rate: limit, ..endpoint(1, 1) }];
         fleet.tell(|_| Event::List { kind: ListKind::Full, version: 1, endpoints: endpoints.clone() });
         fleet
@@ -81,7 +83,9 @@
             let (took, ended) = (self.now - at, outcome == Outcome::Ok);
             let event =
                 Event::Outcome { id, attempt, target: 1, outcome, took, ended, wait: 0, report: None };
-            self.senders[n].handle(self.now, event, &mut Vec::new());
+            let mut actions = Vec::new();
+            self.senders[n].handle(self.now, event, &mut actions);
+            self.closed += actions.iter().filter(|a| matches!(a, Action::CloseIdle { .. })).count();
         }
     }
 
@@ -143,3 +147,19 @@
     // Of the thousand that the limit takes in this span.
     assert!((350..=1100).contains(&sent), "{sent}");
 }
+
+/// What is out denies connections, but its table is not full: once it is back, cold, a handshake for each call is harm.
+#[test]
+fn connections_are_kept_to_what_was_out() {
+    let mut fleet = Fleet::new(2, 25.0);
+    for outcome in [Outcome::ConnectFailed, Outcome::Ok] {
+        (0..5).for_each(|_| {
+            fleet.hand_in(0, 5);
+            fleet.sent_in(S, outcome);
+        });
+    }
+    fleet.closed = 0;
+    fleet.hand_in(0, 5);
+    assert!(fleet.sent_in(5 * S, Outcome::Ok) >= 5);
+    assert_eq!(fleet.closed, 0);
+}
