Space trials of what is out by the even part of the listed limit

Seen: zone, destinations 3, 5 and 7: after their return at second 11 forwarders had their first answer between second 11 and 31, and the fleet sent 11 to 22 calls a second there where 30 to 60 were handed in. Cause: gap() spaces trials by the part of the cold capacity that a sender's own traffic is; at a hundred senders that is 17 s for a destination of 30 messages a second, more where the limit is far above the traffic. The slow start (cold_rate) goes by the even part of the limit where that is more. Now both go by cold_rate(). At two to four forwarders the bound by even() stands below it, as before.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -249,11 +249,10 @@
     }
 
     /// Least span between attempts at a lane in trouble. Guards what is out, shut or cold against many
-    /// senders that each try seldom: each keeps to its part of what would push it over, by its own traffic,
+    /// senders that each try seldom: each keeps to its part of what would push it over, as in the slow start,
     /// evenly, or by the trouble's span, in which each message brought one sender at most. Harms if few came.
     fn gap(&self, lane: usize, at: Micros) -> f64 {
-        let r = &self.s.rules;
-        let part = self.own(lane) * r.cold_from * r.tip_multiple.max(1.0) * RAMP_CAUTION / SECOND;
+        let part = self.cold_rate(lane, self.now) / SECOND;
         let since = at - self.lanes[lane].trouble.unwrap_or(at).min(at);
         (1.0 / part.max(1e-12)).min(self.even()).min(TROUBLE_SPANS * since as f64)
     }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -177,3 +177,26 @@
     // Three seconds of the limit, and what each had saved up.
     assert!((600..=1500).contains(&sent), "{sent}");
 }
+
+/// A destination gets 20 messages a second and is out for 5 s; gives the calls of each second since.
+fn after_an_outage(limit: f64) -> Vec<usize> {
+    let mut fleet = Fleet::new(100, limit);
+    let mut sent = Vec::new();
+    for second in 0..20 {
+        let outcome = if (5..10).contains(&second) { Outcome::ConnectFailed } else { Outcome::Ok };
+        sent.push(0);
+        for tenth in 0..10 {
+            let next = (second * 10 + tenth) * 2 % 100;
+            [next, next + 1].into_iter().for_each(|n| fleet.hand_in(n, 1));
+            sent[second] += fleet.sent_in(S / 10, outcome);
+        }
+    }
+    sent.split_off(10)
+}
+
+/// Trials are few enough together for what is cold, and no fewer: by its own traffic alone a sender comes too seldom.
+#[test]
+fn a_fleet_finds_out_soon_that_a_destination_is_back() {
+    let sent: usize = after_an_outage(100.0).iter().take(4).sum();
+    assert!((110..=170).contains(&sent), "{sent}");
+}
