Begin the slow start half way between last seen out and the first answer

Seen: zone, destination 3 (42 listed), out until second 11: the hundred had their first answers there between second 11 and 31, and each began the slow start of 9.3 s from its own; 18 to 22 calls a second in seconds 16 to 19. Cause: judge() counts Gate::Ramp from the first answer, which for one that tries seldom comes long after the return. It came back at some time since it was last seen out; over a fleet the errors of half way even out, and at two to four senders, which try every second, half way is half a second. shut() counts as a judgement, so that a destination found silent is not taken for one that was seen out at its last answer.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -510,7 +510,7 @@
         if let Some(r) = report.filter(|r| r.rate > 0.0) {
             l.limit_is(r.rate, self.s.senders, least_aim / SECOND);
         }
-        l.judged = self.now;
+        let before = std::mem::replace(&mut l.judged, self.now);
         let was = l.gate;
         match outcome {
             Outcome::Ok => {
@@ -539,7 +539,9 @@
                         Gate::Out { next: self.now, backoff: l.times.mean() }
                     }
                     Gate::Out { .. } if short => Gate::Open,
-                    Gate::Out { .. } => Gate::Ramp { since: self.now },
+                    // It came back at some time since it was last seen out: in the mean over all
+                    // senders, half way. From the first answer on, those that try seldom would all be late.
+                    Gate::Out { .. } => Gate::Ramp { since: before + (self.now - before) / 2 },
                     other => other,
                 };
             }
@@ -592,12 +594,6 @@
         for id in self.lanes[lane].targets.iter().filter(|_| back) {
             self.targets.entry(*id).and_modify(|t| t.denied_until = 0);
         }
-        // What was out denied connections for that, not since its table was full: it is cold, and a handshake
-        // for each call would cost it more than the calls.
-        let back = matches!(was, Gate::Out { .. }) && !matches!(self.lanes[lane].gate, Gate::Out { .. });
-        for id in self.lanes[lane].targets.iter().filter(|_| back) {
-            self.targets.entry(*id).and_modify(|t| t.denied_until = 0);
-        }
         // Idle connections fill the table of an endpoint that takes few, or are dropped unseen: closed after
         // use where one was denied or this sender comes seldom. Costs a handshake if the next call was near.
         let l = &self.lanes[lane];
@@ -627,7 +623,7 @@
         let l = &mut self.lanes[lane];
         let backoff = (2.0 * l.times.mean()).clamp(least_aim / 10.0, least_aim / 4.0);
         l.gate = Gate::Out { next: start + (backoff.max(gap) * jitter) as Micros, backoff };
-        (l.trouble, l.window) = (l.trouble.or(Some(self.now)), 1.0);
+        (l.trouble, l.window, l.judged) = (l.trouble.or(Some(self.now)), 1.0, self.now);
         let name = l.targets.first().copied().unwrap_or(0);
         self.log(format!("destination of {name} looks out: single trials"));
     }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -200,3 +200,10 @@
     let sent: usize = after_an_outage(100.0).iter().take(4).sum();
     assert!((110..=170).contains(&sent), "{sent}");
 }
+
+/// Each hears of the return by its own trial, most of them late; the slow start of all is not to wait for that.
+#[test]
+fn the_slow_start_of_a_fleet_does_not_begin_anew_with_each_sender() {
+    let sent: usize = after_an_outage(25.0).iter().skip(5).take(4).sum();
+    assert!((70..=110).contains(&sent), "{sent}");
+}
