Count half way to the first answer the less, the fewer senders there are

With few senders the errors of half way do not even out: two now begin at the first answer as before, four at a quarter of the way, a hundred half way.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -506,6 +506,7 @@
             self.spread = self.spread.min(self.even()).min(self.longest_deadline()).max(UPKEEP as f64);
         }
         let (spread, even, half_aim) = (self.spread, self.even(), least_aim / 2.0);
+        let senders = f64::from(self.s.senders.max(1));
         let l = &mut self.lanes[lane];
         if let Some(r) = report.filter(|r| r.rate > 0.0) {
             l.limit_is(r.rate, self.s.senders, least_aim / SECOND);
@@ -539,9 +540,12 @@
                         Gate::Out { next: self.now, backoff: l.times.mean() }
                     }
                     Gate::Out { .. } if short => Gate::Open,
-                    // It came back at some time since it was last seen out: in the mean over all
-                    // senders, half way. From the first answer on, those that try seldom would all be late.
-                    Gate::Out { .. } => Gate::Ramp { since: before + (self.now - before) / 2 },
+                    // It came back since it was last seen out: in the mean over many senders half way. From
+                    // the first answer on all that try seldom would be late; one of two is no mean.
+                    Gate::Out { .. } => {
+                        let late = (self.now - before) as f64 * (0.5 - 1.0 / senders).max(0.0);
+                        Gate::Ramp { since: self.now - late as Micros }
+                    }
                     other => other,
                 };
             }
