Let no pause after refusals last longer than a message

Cause: judge() bounds the learned pause by the deadline and then multiplies it by the run of refusals; what is left bounds it by even(), which is 50 s at a hundred senders, against a limit that is lowered for 9 s. At two to four senders even() is 2 s at most and the bound is never met. By hand, a hundred senders refused for 9 s use 866 of 1000 calls in seconds 5 to 10 after it; 434 before.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -498,8 +498,8 @@
     fn judge(&mut self, lane: usize, target: TargetId, end: &End) {
         let End { outcome, sent, report, planned, .. } = *end;
         let jitter = 1.0 + self.random();
-        let least_aim = self.least_aim();
-        let least_pace = f64::from(self.s.max_attempts) * SECOND / self.longest_deadline();
+        let (least_aim, deadline) = (self.least_aim(), self.longest_deadline());
+        let least_pace = f64::from(self.s.max_attempts) * SECOND / deadline;
         let (own, gap) = (self.own(lane), self.gap(lane, self.now.max(self.lanes[lane].wait_until)));
         if self.lanes[lane].full_run > 0 && matches!(outcome, Outcome::Ok | Outcome::Full) {
             self.spread *= if outcome == Outcome::Ok { SPREAD_DOWN } else { SPREAD_UP };
@@ -565,7 +565,8 @@
                 }
                 let run = f64::from(l.full_run.min(6));
                 let pause = (l.times.mean() * jitter * run).min(half_aim);
-                let more = (jitter - 1.0) * gap.max(spread * run).min(even) - half_aim;
+                // No longer than a message lasts: the limit may be back long before the turn of each.
+                let more = (jitter - 1.0) * gap.max(spread * run).min(even).min(deadline) - half_aim;
                 l.wait_until = l.wait_until.max(self.now + pause as Micros) + more.max(0.0) as Micros;
             }
             _ => {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -145,7 +145,7 @@
     fleet.sent_in(5 * S, Outcome::Ok);
     let sent = fleet.sent_in(5 * S, Outcome::Ok);
     // Of the thousand that the limit takes in this span.
-    assert!((350..=1100).contains(&sent), "{sent}");
+    assert!((700..=1100).contains(&sent), "{sent}");
 }
 
 /// What is out denies connections, but its table is not full: once it is back, cold, a handshake for each call is harm.
