--- a/src/brain.rs
+++ b/src/brain.rs
@@ -252,7 +252,12 @@
     /// senders that each try seldom: each keeps to its part of what would push it over, as in the slow start,
     /// evenly, or by the trouble's span, in which each message brought one sender at most. Harms if few came.
     fn gap(&self, lane: usize, at: Micros) -> f64 {
-        let part = self.cold_rate(lane, self.now) / SECOND;
+        // The fewer senders, the better each one's own traffic tells its part; of many, the even part does.
+        let senders = f64::from(self.s.senders.max(2));
+        let even_part = self.lanes[lane].limit / senders * (1.0 - 2.0 / senders);
+        let r = &self.s.rules;
+        let capacity = self.own(lane).max(even_part) * r.cold_from * r.tip_multiple.max(1.0);
+        let part = capacity * RAMP_CAUTION / SECOND;
         let since = at - self.lanes[lane].trouble.unwrap_or(at).min(at);
         (1.0 / part.max(1e-12)).min(self.even()).min(TROUBLE_SPANS * since as f64)
     }
