Ask the module again before a call is written whose connection was late

At fault: `targets::call`, which writes once the connection stands, whatever has been told since it was decided; drains too. It asks now, and the module says (`Brain::may_go`). A call held so ends as not sent, and its connection is kept.

Tests: the module's answer, and a forwarder whose target lets a first packet drop while its drain is told (seen to fail).

--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -116,6 +116,11 @@
     },
     /// Discovery is found there from now on.
     Discovery(SocketAddr),
+    /// A call's connection stands: may it be written still?
+    Connected {
+        target: TargetId,
+        go: oneshot::Sender<bool>,
+    },
     /// A message of this class has been written whole to an endpoint.
     Written {
         class: usize,
@@ -398,6 +403,7 @@
                 self.list(list, kind);
             }
             Input::Reported { numbers, status } => self.reported(numbers, status),
+            Input::Connected { target, go } => drop(go.send(self.brain.may_go(self.clock.now(), target))),
             Input::Written { class } => self.figures.tried(class),
             // One that nobody awaits any more has been answered no.
             Input::Operator { reply, .. } if reply.is_closed() => {}
--- a/src/bin/foldtrack/targets.rs
+++ b/src/bin/foldtrack/targets.rs
@@ -311,15 +311,23 @@
     let (reused, written) = (idle.is_some(), inputs.clone());
     // From when the request is with the connection only an answer proves that it has not run.
     let mut handed_over = false;
+    let mut unused = None;
     let exchange = async {
         let mut connection = match idle {
             Some((_, connection)) => connection,
             None => {
                 let tell = move |class| written.send(Input::Written { class });
-                match timeout(dial_timeout, Connection::open(address, tell)).await {
-                    Ok(Ok(connection)) => connection,
-                    _ => return Err(Outcome::ConnectFailed),
+                let Ok(Ok(connection)) = timeout(dial_timeout, Connection::open(address, tell)).await else {
+                    return Err(Outcome::ConnectFailed);
+                };
+                // A lost packet makes this late by a second: what was told meanwhile holds for this call too.
+                let (go, may_go) = oneshot::channel();
+                inputs.send(Input::Connected { target: call.target, go });
+                if !may_go.await.unwrap_or(false) {
+                    unused = Some(connection);
+                    return Err(Outcome::NotSent);
                 }
+                connection
             }
         };
         let payload = connection.payload(&message);
@@ -348,7 +356,7 @@
         Err(Some(Outcome::Cancelled)) if !handed_over => end.outcome = Outcome::NotSent,
         Err(None) if !handed_over => end.outcome = Outcome::ConnectFailed,
         Err(None) => end.outcome = Outcome::TimedOut,
-        Err(Some(outcome)) => end.outcome = outcome,
+        Err(Some(outcome)) => (end.outcome, end.connection) = (outcome, unused),
     }
     inputs.send(Input::CallEnded(end));
 }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -167,6 +167,22 @@
     field.kept();
 }
 
+/// A connection may take a second to stand: the module is asked again before the call is written.
+#[test]
+fn a_call_whose_connection_was_late_goes_by_what_was_told_meanwhile() {
+    let mut f = Field::new(settings(vec![class(Effect::Keyed)]), vec![endpoint(1, 1), endpoint(2, 1)]);
+    assert!(f.brain.may_go(f.now, 1) && !f.brain.may_go(f.now, 3));
+    let draining = Endpoint { state: EndpointState::Draining, ..endpoint(1, 1) };
+    f.list(ListKind::Delta, vec![draining]);
+    assert!(!f.brain.may_go(f.now, 1) && f.brain.may_go(f.now, 2));
+    let id = f.request(0, 1, 0);
+    f.end(id, 0, Outcome::Full, 300 * MS);
+    assert!(!f.brain.may_go(f.now + 290 * MS, 2));
+    assert!(f.brain.may_go(f.now + 10 * S, 2));
+    f.feed(Event::ByHand { target: 2, out: true });
+    assert!(!f.brain.may_go(f.now + 10 * S, 2));
+}
+
 #[test]
 fn a_message_with_less_time_left_than_any_answer_takes_is_refused_unsent() {
     let mut field = warmed(settings(vec![class(Effect::Repeatable)]), vec![endpoint(1, 1)], 0);
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -6,7 +6,7 @@
 
 use std::fs;
 use std::io::Write;
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::process::{Command, Stdio};
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -121,6 +121,29 @@
     assert_eq!(old.seen().len(), 1);
 }
 
+/// Found on fleets of 300: a connection whose first packet was lost stood a second later, and its call was written
+/// though a wait had been told meanwhile.
+#[test]
+fn a_call_whose_connection_was_late_goes_by_the_list_of_its_own_moment() {
+    let (late, new) = (TcpListener::bind("127.0.0.1:0").unwrap(), Server::start(|_| OK));
+    // With no room in its queue but for the first, the system drops what comes: it is sent anew after a second.
+    rustix::net::listen(&late, 0).unwrap();
+    let address = late.local_addr().unwrap();
+    let _first = TcpStream::connect(address).unwrap();
+    let platform = Platform::start(vec![line("s-1", address, 1, "active")]);
+    let forwarder =
+        Forwarder::start_with(&platform, |c| c["settings"]["limits"]["dial_timeout"] = 20_000_000.into());
+    eventually("the first list", || platform.has_told());
+    assert_eq!(forwarder.hand_in(&fee("m1")), 202);
+    // The call is made within milliseconds. Should the news come sooner, the message goes to the other target alone.
+    sleep(MS(100));
+    platform.change(vec![line("s-1", address, 1, "leaving"), line("s-2", new.address, 1, "active")]);
+    eventually("the list is told", || platform.has_told());
+    let old = Server::start_on(late, |_| OK);
+    eventually("the call", || !new.seen().is_empty() || !old.seen().is_empty());
+    assert!(old.seen().is_empty(), "a drained target got a call");
+}
+
 /// The first watch fails; the list known from the configuration serves meanwhile.
 #[test]
 fn a_silent_discovery_leaves_the_known_list_in_use() {
--- a/tests/forwarder/world.rs
+++ b/tests/forwarder/world.rs
@@ -93,7 +93,12 @@
 
 impl Server {
     pub fn start(behaviour: impl Fn(&Request) -> Reply + Send + Sync + 'static) -> Arc<Server> {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Server::start_on(TcpListener::bind("127.0.0.1:0").unwrap(), behaviour)
+    }
+
+    pub fn start_on(
+        listener: TcpListener, behaviour: impl Fn(&Request) -> Reply + Send + Sync + 'static,
+    ) -> Arc<Server> {
         let server = Arc::new(Server {
             address: listener.local_addr().unwrap(),
             seen: Mutex::default(),
