--- a/src/brain.rs
+++ b/src/brain.rs
@@ -701,8 +701,8 @@
         }
     }
 
-    /// Whether a call whose connection took its time may be written still: its endpoint may drain by now, or its
-    /// destination have told a wait.
+    /// Whether a call whose connection took its time may be written still: its endpoint may drain by now,
+    /// or its destination have told a wait.
     pub fn may_go(&self, now: Micros, target: TargetId) -> bool {
         let listed = self.targets.get(&target).filter(|t| t.state == EndpointState::Ready);
         listed.is_some_and(|t| self.lanes[t.lane].wait_until <= now) && !self.taken_out.contains(&target)
