Begin a watch at once where lists are pushed, whatever the size of the fleet

The list changed at 4.11 s. First calls of 306 forwarders to discovery came evenly from 0 to 15 s, and after each restart again; forwarder 1, restarted on the way, asked for the first time at 21.9 s, and got at once what had changed since version 4, four lists late: `since=4&timeout_ms=1000 took .. 200 OK 1362`. The settings say `"discovery": "pushed"`: what the agent has counts as told.

At fault: `platform::watch`, whose 50 ms for each forwarder are meant for a discovery that serves the whole fleet. So the spread goes by the settings, and on request ends after 5 s, since what is to be told binds after 6.

Test: four forwarders of a fleet of 300, restarted after a drain, send nothing to what drains (seen to fail).

--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -250,9 +250,10 @@
             },
         }
     };
-    let senders = config.settings.settings.senders;
     let (discovery, told, known) = (node.discovery.subscribe(), inputs.clone(), config.known);
-    let watching = tokio::spawn(async move { platform::watch(discovery, senders, &known, told).await });
+    let parsed = node.settings.clone();
+    let watching =
+        tokio::spawn(async move { platform::watch(discovery, &parsed.settings, &known, told).await });
     let mut batch = Vec::new();
     let listener = match listener {
         Some(listener) => TcpListener::from_std(listener)?,
--- a/src/bin/foldtrack/platform.rs
+++ b/src/bin/foldtrack/platform.rs
@@ -3,6 +3,7 @@
 use crate::node::{Input, Inputs};
 use crate::targets::{Connection, Payload};
 use bytes::Bytes;
+use hatchline::Settings;
 use http_body_util::{BodyExt, Limited};
 use hyper::header::{CONNECTION, CONTENT_TYPE, HOST};
 use hyper::{Method, Request, StatusCode};
@@ -27,9 +28,12 @@
 /// Discovery serves a whole fleet, and what it turns away costs it nearly as much as what it answers. A call that
 /// was turned away comes again after so long for each forwarder in the fleet.
 const TURNED_AWAY_PAUSE: Duration = Duration::from_millis(125);
-/// A fleet that starts together begins its watches at random within so long for each forwarder in it: discovery takes on
-/// some twenty new watches a second, and all that wait behind those are turned away.
+/// Where lists are told on request, a fleet that starts together begins its watches at random within so long for each
+/// forwarder in it: discovery takes on some twenty new watches a second, and all that wait behind those are turned away.
+/// Where they are pushed, the agent has them already, and they bind from then on: a watch costs nothing and begins at once.
 const BEGIN_SPREAD: Duration = Duration::from_millis(50);
+/// What discovery has to tell binds after 6 s at the latest: no watch begins later than one that waits would end by then.
+const LATEST_BEGIN: Duration = Duration::from_secs(5);
 /// An agent that answers each watch at once, without news, is not asked more often than this.
 const EMPTY_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_LIST: usize = 4 << 20;
@@ -103,13 +107,16 @@
     Request::get(path).header(HOST, address.to_string()).body(Payload::uncounted(Bytes::new())).ok()
 }
 
-/// Watches the list for as long as the process runs, wherever discovery is, as one of so many forwarders, from the
+/// Watches the list for as long as the process runs, wherever discovery is, as one of the settings' forwarders, from the
 /// known list on: a whole list costs discovery work for each of its lines.
 pub(crate) async fn watch(
-    mut discovery: watch::Receiver<SocketAddr>, senders: u32, known: &ServerList, inputs: Inputs,
+    mut discovery: watch::Receiver<SocketAddr>, settings: &Settings, known: &ServerList, inputs: Inputs,
 ) {
+    let senders = settings.senders;
     let mut from = Some(known.version).filter(|_| !known.servers.is_empty());
-    sleep((BEGIN_SPREAD * senders).mul_f64(fastrand::f64())).await;
+    if settings.subscribe {
+        sleep((BEGIN_SPREAD * senders).min(LATEST_BEGIN).mul_f64(fastrand::f64())).await;
+    }
     loop {
         let address = *discovery.borrow_and_update();
         tokio::select! {
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -196,7 +196,9 @@
     let begin = |_| {
         let platform = Platform::start(vec![line("s-1", target.address, 1, "active")]);
         let start = Instant::now();
-        let forwarder = Forwarder::start_with(&platform, |c| c["settings"]["balancers"] = 100.into());
+        let forwarder = Forwarder::start_with(&platform, |c| {
+            (c["settings"]["balancers"], c["settings"]["discovery"]) = (100.into(), "on_request".into());
+        });
         (platform, start, forwarder)
     };
     let fleet: Vec<_> = (0..8).map(begin).collect();
@@ -210,6 +212,28 @@
     assert!(fleet.iter().map(first).max() > Some(MS(500)));
 }
 
+/// Found on fleets of 300: their watches began within 15 s also where lists are pushed, and what the agent had bound before.
+#[test]
+fn where_lists_are_pushed_a_large_fleet_goes_by_them_from_the_start() {
+    let (old, new) = (Server::start(|_| OK), Server::start(|_| OK));
+    let platform = Platform::start(vec![line("s-1", old.address, 1, "active")]);
+    let mut fleet: Vec<_> = (0..4)
+        .map(|_| {
+            let change = |c: &mut serde_json::Value| c["settings"]["balancers"] = 300.into();
+            let mut forwarder = Forwarder::start_with(&platform, change);
+            forwarder.kill();
+            forwarder
+        })
+        .collect();
+    platform.change(vec![line("s-1", old.address, 1, "leaving"), line("s-2", new.address, 1, "active")]);
+    for forwarder in &mut fleet {
+        forwarder.start_again();
+        assert_eq!(forwarder.hand_in(&fee("m1")), 202);
+    }
+    eventually("the calls", || old.seen().len() + new.seen().len() == 4);
+    assert!(old.seen().is_empty());
+}
+
 #[test]
 fn a_silent_target_gets_no_second_unsafe_attempt_and_the_end_is_told_in_time() {
     let (target, platform, forwarder) = one_target(|_| Reply::Silence);
