Do not write a repeat whose connection was late once its window is over

The connection took 1000.4 ms, a lost first packet again.

At fault: `may_go`, which asked about the endpoint and the destination, not about the message. The rule on the window stands in one place now (`in_window`), for deciding and for writing.

Test: the module's answer before and after the window, and for a message that is over or unknown.

--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -118,6 +118,7 @@
     Discovery(SocketAddr),
     /// A call's connection stands: may it be written still?
     Connected {
+        number: u64,
         target: TargetId,
         go: oneshot::Sender<bool>,
     },
@@ -404,7 +405,9 @@
                 self.list(list, kind);
             }
             Input::Reported { numbers, status } => self.reported(numbers, status),
-            Input::Connected { target, go } => drop(go.send(self.brain.may_go(self.clock.now(), target))),
+            Input::Connected { number, target, go } => {
+                let _ = go.send(self.brain.may_go(self.clock.now(), number, target));
+            }
             Input::Written { class } => self.figures.tried(class),
             // One that nobody awaits any more has been answered no.
             Input::Operator { reply, .. } if reply.is_closed() => {}
--- a/src/bin/foldtrack/targets.rs
+++ b/src/bin/foldtrack/targets.rs
@@ -322,7 +322,7 @@
                 };
                 // A lost packet makes this late by a second: what was told meanwhile holds for this call too.
                 let (go, may_go) = oneshot::channel();
-                inputs.send(Input::Connected { target: call.target, go });
+                inputs.send(Input::Connected { number: call.number, target: call.target, go });
                 if !may_go.await.unwrap_or(false) {
                     unused = Some(connection);
                     return Err(Outcome::NotSent);
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -366,18 +366,23 @@
         let out = m.attempts.iter().any(|a| a.done.is_none());
         let tries_left = m.attempts.len() < self.s.max_attempts.max(1) as usize;
         let open = !m.over && !out && tries_left && m.expires > self.now;
-        let Some((at, zone)) = m.ran else { return (open, 0, !m.over) };
+        let Some((_, zone)) = m.ran else { return (open, 0, !m.over) };
         match c.effect {
             Effect::Repeatable => (open, 0, !m.over),
             Effect::Keyed => {
-                let inside = self.now + self.s.tick < at + c.window;
                 let all = c.group == Group::All;
-                (open && inside, if all { 0 } else { zone + 1 }, !m.over && all)
+                (open && self.in_window(m), if all { 0 } else { zone + 1 }, !m.over && all)
             }
             Effect::Unsafe => (false, 0, false),
         }
     }
 
+    /// Whether a repeat, where one has to come within a window of the first attempt that may have run, would.
+    fn in_window(&self, m: &Message) -> bool {
+        let c = &self.s.classes[m.class];
+        c.effect != Effect::Keyed || m.ran.is_none_or(|(at, _)| self.now + self.s.tick < at + c.window)
+    }
+
     /// Puts a message among those ready to go, if it may be sent and has the turn of its key.
     fn enqueue(&mut self, id: MessageId) {
         let Some(m) = self.messages.get(&id).filter(|m| m.queue.is_none()) else { return };
@@ -702,10 +707,13 @@
     }
 
     /// Whether a call whose connection took its time may be written still: its endpoint may drain by now,
-    /// or its destination have told a wait.
-    pub fn may_go(&self, now: Micros, target: TargetId) -> bool {
+    /// its destination have told a wait, or the window for a repeat be over.
+    pub fn may_go(&mut self, now: Micros, id: MessageId, target: TargetId) -> bool {
+        self.now = now;
         let listed = self.targets.get(&target).filter(|t| t.state == EndpointState::Ready);
-        listed.is_some_and(|t| self.lanes[t.lane].wait_until <= now) && !self.taken_out.contains(&target)
+        let ready = listed.is_some_and(|t| self.lanes[t.lane].wait_until <= now);
+        let timely = self.messages.get(&id).is_some_and(|m| !m.over && self.in_window(m));
+        ready && timely && !self.taken_out.contains(&target)
     }
 
     fn value(&self, class: usize, age: f64) -> f64 {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -171,16 +171,21 @@
 #[test]
 fn a_call_whose_connection_was_late_goes_by_what_was_told_meanwhile() {
     let mut f = Field::new(settings(vec![class(Effect::Keyed)]), vec![endpoint(1, 1), endpoint(2, 1)]);
-    assert!(f.brain.may_go(f.now, 1) && !f.brain.may_go(f.now, 3));
+    let id = f.request(0, 1, 0);
+    assert!(f.brain.may_go(f.now, id, 1) && f.brain.may_go(f.now, id, 2));
+    assert!(!f.brain.may_go(f.now, id, 3) && !f.brain.may_go(f.now, id + 1, 1));
     let draining = Endpoint { state: EndpointState::Draining, ..endpoint(1, 1) };
     f.list(ListKind::Delta, vec![draining]);
-    assert!(!f.brain.may_go(f.now, 1) && f.brain.may_go(f.now, 2));
-    let id = f.request(0, 1, 0);
-    f.end(id, 0, Outcome::Full, 300 * MS);
-    assert!(!f.brain.may_go(f.now + 290 * MS, 2));
-    assert!(f.brain.may_go(f.now + 10 * S, 2));
+    assert!(!f.brain.may_go(f.now, id, 1) && f.brain.may_go(f.now, id, 2));
+    let begun = f.now;
+    f.now += S;
+    f.end(id, 0, Outcome::Reset, 300 * MS);
+    assert!(!f.brain.may_go(f.now + 290 * MS, id, 2));
+    assert!(f.brain.may_go(begun + 9_900 * MS, id, 2));
+    // It may have run, and its window of 10 s is over.
+    assert!(!f.brain.may_go(begun + 10 * S, id, 2));
     f.feed(Event::ByHand { target: 2, out: true });
-    assert!(!f.brain.may_go(f.now + 10 * S, 2));
+    assert!(!f.brain.may_go(begun + 9_900 * MS, id, 2));
 }
 
 #[test]
