--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1014,8 +1014,8 @@
         }
     }
 
-    /// A known limit starts the pace at an even part, however little that is: where all begin at once, as after
-    /// a restart with what they held, a call of each is more than the limit of many a destination.
+    /// A known limit starts the pace at an even part, however little that is: where all begin at once, as
+    /// after a restart with what they held, a call of each is more than the limit of many a destination.
     fn limit_is(&mut self, rate: f64, senders: u32) {
         if self.limit <= 0.0 {
             self.pace = rate / f64::from(senders.max(1));
