Answer a client that ends only its sending side, and take on only what it could hear

Seen: of 20 requests on real sockets, each followed by the end of the client's sending side alone, the first was closed without an answer (test a_client_that_ends_only_its_sending_side_has_its_answer: "message 1: \"\""). The HTTP library took the end of the client's sending for its leaving and dropped the service in clients::hand_in. In the log such a client counts as "gone 1", as one that has left.

Now a half-closed connection is served. What is taken on is told to the node when the answer's bytes have been flushed, not when the answer is made: an answer that does not get out takes nothing on. A client that had ended its sending by then counts as there if what was written is not turned away within 100 ms (the way there and back), as before for one that had gone.

--- a/src/bin/foldtrack/clients.rs
+++ b/src/bin/foldtrack/clients.rs
@@ -2,8 +2,9 @@
 
 use crate::clock::Clock;
 use crate::message::Message;
-use crate::node::{Answer, Input, Inputs, Stage};
+use crate::node::{Answer, Input, Inputs, Receipt, Stage};
 use crate::places::{Place, Places};
+use crate::streams::{Tap, Tapped};
 use bytes::Bytes;
 use hatchline::settings::Parsed;
 use hatchline::{Effect, Micros};
@@ -15,10 +16,12 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
-use std::sync::Arc;
+use std::future::poll_fn;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::net::TcpListener;
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch};
 use tokio::time::{sleep, timeout};
 
@@ -32,6 +35,8 @@
 const HEAD_WAIT: Duration = Duration::from_millis(2200);
 /// A client that does not finish its request within this span has gone: it waits 400 ms for its answer.
 const BODY_WAIT: Duration = Duration::from_millis(500);
+/// Where a client has gone, what is written to it is turned away within this span: the way there and back.
+const HEARD_WAIT: Duration = Duration::from_millis(100);
 /// Pause after a connection could not be accepted, for want of descriptors say.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -69,31 +74,113 @@
     }
 }
 
+/// What is asked of a client's socket beyond reading and writing.
+trait Client: AsyncRead + AsyncWrite + Unpin {
+    /// The client has ended its sending side, or has gone.
+    fn has_ended(&self, cx: &mut Context) -> bool;
+    /// What was written has been turned away: the client has gone.
+    fn is_broken(&self) -> bool;
+}
+
+impl Client for TcpStream {
+    fn has_ended(&self, cx: &mut Context) -> bool {
+        let mut next = [0];
+        matches!(self.poll_peek(cx, &mut ReadBuf::new(&mut next)), Poll::Ready(Ok(0) | Err(_)))
+    }
+
+    fn is_broken(&self) -> bool {
+        !matches!(self.take_error(), Ok(None))
+    }
+}
+
+/// How far a connection is with its present request.
+#[derive(Default)]
+struct Progress {
+    /// The answer is with the HTTP library: the next flush has written it.
+    answered: bool,
+    /// What tells whether that answer was written, if it takes a message on.
+    receipt: Option<Receipt>,
+    /// The same of an answer that was written to a client that may have gone.
+    doubtful: Option<Receipt>,
+}
+
+#[derive(Clone, Default)]
+struct Line(Arc<Mutex<Progress>>);
+
+impl Line {
+    fn progress(&self) -> MutexGuard<'_, Progress> {
+        // Each change is an assignment: a panic elsewhere leaves it whole.
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl<S: Client> Tap<S> for Line {
+    fn flushed(&mut self, client: &S, cx: &mut Context) {
+        let mut progress = self.progress();
+        if !progress.answered {
+            return;
+        }
+        let receipt = progress.receipt.take();
+        *progress = Progress::default();
+        match receipt {
+            Some(receipt) if client.has_ended(cx) => progress.doubtful = Some(receipt),
+            Some(mut receipt) => receipt.written = true,
+            None => {}
+        }
+    }
+}
+
 async fn connection(
-    stream: impl AsyncRead + AsyncWrite + Unpin, desk: Arc<Desk>,
-    (place, mut closed): (Place, oneshot::Receiver<()>),
+    stream: impl Client, desk: Arc<Desk>, (place, mut closed): (Place, oneshot::Receiver<()>),
 ) {
     let mut stage = desk.stage.clone();
-    let place = &place;
+    let (place, line) = (&place, Line::default());
     let service = service_fn(|request| {
-        let desk = desk.clone();
-        async move { Ok::<_, Infallible>(answer(request, &desk, place).await) }
+        let (desk, line) = (desk.clone(), line.clone());
+        Box::pin(async move { Ok::<_, Infallible>(answer(request, &desk, place, &line).await) })
     });
-    let serving = http1::Builder::new()
+    let mut serving = http1::Builder::new()
         .max_buf_size(BUFFER)
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_WAIT)
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(serving);
-    // Errors are the client's: it has gone, or does not speak HTTP. A request that has come is read before the
-    // connection is told to close: it would be cut off unanswered.
-    tokio::select! {
-        biased;
-        _ = serving.as_mut() => return,
-        Ok(()) = &mut closed => return,
-        _ = stage.wait_for(|s| *s == Stage::Closing) => serving.as_mut().graceful_shutdown(),
+        // A client may end its sending side once its request is out, and still wait for the answer.
+        .half_close(true)
+        .serve_connection(TokioIo::new(Tapped { stream, tap: line.clone() }), service);
+    let (mut newcomer, mut closing) = (true, false);
+    // A request that has come is read before the connection is told to close: it would be cut off unanswered.
+    let served = loop {
+        tokio::select! {
+            biased;
+            // Errors are the client's: it has gone, or does not speak HTTP.
+            served = poll_fn(|cx| serving.poll_without_shutdown(cx)) => break served,
+            told = &mut closed, if newcomer => {
+                newcomer = false;
+                if told.is_ok() {
+                    return;
+                }
+            }
+            _ = stage.wait_for(|s| *s == Stage::Closing), if !closing => {
+                closing = true;
+                Pin::new(&mut serving).graceful_shutdown();
+            }
+        }
+    };
+    let mut client = serving.into_parts().io.into_inner().stream;
+    // An answer that was not written takes nothing on: its receipt goes with the rest.
+    let doubtful = std::mem::take(&mut *line.progress()).doubtful;
+    if let Some(mut receipt) = doubtful.filter(|_| served.is_ok()) {
+        receipt.written = has_heard(&mut client).await;
+    }
+    let _ = client.shutdown().await;
+}
+
+/// Whether a client that had ended its sending side was there yet to have what was written to it.
+async fn has_heard(client: &mut impl Client) -> bool {
+    if client.shutdown().await.is_err() || client.is_broken() {
+        return false;
     }
-    let _ = serving.await;
+    sleep(HEARD_WAIT).await;
+    !client.is_broken()
 }
 
 fn plain(status: StatusCode) -> Response<Full<Bytes>> {
@@ -102,30 +189,32 @@
     response
 }
 
-async fn answer(request: Request<Incoming>, desk: &Desk, place: &Place) -> Response<Full<Bytes>> {
+async fn answer(
+    request: Request<Incoming>, desk: &Desk, place: &Place, line: &Line,
+) -> Response<Full<Bytes>> {
     let mut response = match (request.method(), request.uri().path()) {
         (&Method::GET, "/healthz") => plain(StatusCode::OK),
-        _ => hand_in(request, desk, place).await.unwrap_or_else(plain),
+        _ => hand_in(request, desk, place, line).await.unwrap_or_else(plain),
     };
     // A peer that does not speak the protocol keeps no place either.
     if *desk.stage.borrow() != Stage::Serving || response.status().is_client_error() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
+    line.progress().answered = true;
     response
 }
 
 /// Hands a message to the node and waits for what becomes of it.
 async fn hand_in(
-    request: Request<Incoming>, desk: &Desk, place: &Place,
+    request: Request<Incoming>, desk: &Desk, place: &Place, line: &Line,
 ) -> Result<Response<Full<Bytes>>, StatusCode> {
     let message = read(request, desk).await?;
     place.settle();
     let (reply, answer) = oneshot::channel();
     desk.inputs.send(Input::HandIn { message: Arc::new(message), reply });
     match answer.await {
-        Ok(Answer::TakenOn(mut receipt)) => {
-            // When the client has closed, the connection drops this future before it comes here.
-            receipt.written = true;
+        Ok(Answer::TakenOn(receipt)) => {
+            line.progress().receipt = Some(receipt);
             Ok(plain(StatusCode::ACCEPTED))
         }
         Ok(Answer::Refused { retry_in_ms }) => {
--- a/src/bin/foldtrack/clients_tests.rs
+++ b/src/bin/foldtrack/clients_tests.rs
@@ -8,6 +8,18 @@
 use tokio::time::Instant;
 
 const OWED: Duration = Duration::from_secs(3);
+const LETTER: &[u8] = b"POST /note HTTP/1.1\r\nHost: x\r\nX-Request-Id: m\r\nX-Deadline: 9000m\r\n\
+                        X-Consignee: dest=1\r\nContent-Length: 0\r\n\r\n";
+
+impl Client for DuplexStream {
+    fn has_ended(&self, _: &mut Context) -> bool {
+        false
+    }
+
+    fn is_broken(&self) -> bool {
+        false
+    }
+}
 
 fn desk(stage: watch::Receiver<Stage>, inputs: Inputs) -> Arc<Desk> {
     let settings = json!({
@@ -27,7 +39,14 @@
 
 /// The same among others, for whom there are so many places; and the way to what the forwarder is handed.
 async fn connect_among(places: &Places) -> (DuplexStream, watch::Sender<Stage>, UnboundedReceiver<Input>) {
-    let (peer, ours) = duplex(1 << 20);
+    connect_over(1 << 20, places).await
+}
+
+/// The same over a network that holds so many bytes each way.
+async fn connect_over(
+    room: usize, places: &Places,
+) -> (DuplexStream, watch::Sender<Stage>, UnboundedReceiver<Input>) {
+    let (peer, ours) = duplex(room);
     let (stage, seen) = watch::channel(Stage::Serving);
     let (inputs, receiver) = node::channel();
     let place = places.enter().await.expect("a place");
@@ -86,10 +105,8 @@
     for _ in 0..3 {
         taken.push(connect_among(&places).await);
     }
-    let letter = b"POST /note HTTP/1.1\r\nHost: x\r\nX-Request-Id: m\r\nX-Deadline: 9000m\r\n\
-                   X-Consignee: dest=1\r\nContent-Length: 0\r\n\r\n";
     let (client, _, inputs) = &mut taken[0];
-    client.write_all(letter).await.unwrap();
+    client.write_all(LETTER).await.unwrap();
     let handed_in = inputs.recv().await;
     assert!(matches!(handed_in, Some(Input::HandIn { .. })));
     let start = Instant::now();
@@ -105,3 +122,27 @@
     taken[0].0.read_exact(&mut answer).await.expect("the client has its answer");
     assert_eq!(&answer, b"HTTP/1.1 503");
 }
+
+/// The message may go from the moment when its client can have heard of it, and not before.
+#[tokio::test(start_paused = true)]
+async fn a_message_counts_as_taken_on_once_its_answer_is_written_whole() {
+    for leaves in [false, true] {
+        // The network has room for a part of the answer.
+        let (mut client, _stage, mut inputs) = connect_over(32, &Places::new(1)).await;
+        client.write_all(LETTER).await.unwrap();
+        let (to_node, mut told) = node::channel();
+        let Some(Input::HandIn { reply, .. }) = inputs.recv().await else { panic!("nothing was handed in") };
+        let _ = reply.send(Answer::TakenOn(Receipt::new(7, to_node)));
+        sleep(Duration::from_millis(50)).await;
+        assert!(told.try_recv().is_err(), "told before the answer was written");
+        if leaves {
+            drop(client);
+        } else {
+            client.read_exact(&mut [0; 64]).await.expect("the answer");
+        }
+        match told.recv().await {
+            Some(Input::Answered { number: 7, written }) => assert_eq!(written, !leaves),
+            _ => panic!("not told"),
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/foldtrack/streams.rs
@@ -0,0 +1,50 @@
+//! What stands between a socket and the HTTP library: a tap that lets on what passes.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{ready, Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Hears what passes through a [`Tapped`] stream. The HTTP library flushes a stream once it has written what it holds.
+pub(crate) trait Tap<S> {
+    fn flushed(&mut self, _stream: &S, _cx: &mut Context) {}
+}
+
+/// A stream that is listened in on.
+pub(crate) struct Tapped<S, T> {
+    pub stream: S,
+    pub tap: T,
+}
+
+impl<S: AsyncRead + Unpin, T: Unpin> AsyncRead for Tapped<S, T> {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl<S: AsyncWrite + Unpin, T: Tap<S> + Unpin> AsyncWrite for Tapped<S, T> {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>, cx: &mut Context, bufs: &[io::IoSlice],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        ready!(Pin::new(&mut this.stream).poll_flush(cx))?;
+        this.tap.flushed(&this.stream, cx);
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/src/bin/foldtrack/targets.rs
+++ b/src/bin/foldtrack/targets.rs
@@ -2,6 +2,7 @@
 
 use crate::message::Message;
 use crate::node::{Input, Inputs};
+use crate::streams::{Tap, Tapped};
 use bytes::Bytes;
 use hatchline::{LimitReport, Outcome, TargetId};
 use http_body_util::{BodyExt, Limited};
@@ -16,10 +17,9 @@
 use std::pin::Pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::task::{ready, Context, Poll};
+use std::task::{Context, Poll};
 use std::time::Duration;
 use std::{fmt, io};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
@@ -87,45 +87,18 @@
     }
 }
 
-/// A stream whose flushes are watched.
-struct Watched {
-    stream: TcpStream,
+/// Tells of each message that has been written whole.
+struct WrittenTap<F> {
     written: Written,
-    tell: Box<dyn Fn(usize) + Send>,
+    tell: F,
 }
 
-impl AsyncRead for Watched {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
-    }
-}
-
-impl AsyncWrite for Watched {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>, cx: &mut Context, bufs: &[io::IoSlice],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+impl<S, F: Fn(usize)> Tap<S> for WrittenTap<F> {
+    fn flushed(&mut self, _: &S, _: &mut Context) {
         let class = self.written.swap(NOTHING, Ordering::Relaxed);
         if class != NOTHING {
             (self.tell)(class);
         }
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
 
@@ -157,12 +130,14 @@
 
 impl Connection {
     /// `tell` is called with the class of each message of [`Connection::payload`] that has been written whole.
-    pub async fn open(address: SocketAddr, tell: impl Fn(usize) + Send + 'static) -> io::Result<Connection> {
+    pub async fn open(
+        address: SocketAddr, tell: impl Fn(usize) + Send + Unpin + 'static,
+    ) -> io::Result<Connection> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let written = Written::new(AtomicUsize::new(NOTHING));
-        let watched = Watched { stream, written: written.clone(), tell: Box::new(tell) };
-        let handshake = http1::Builder::new().max_buf_size(HEAD_BYTES).handshake(TokioIo::new(watched)).await;
+        let tapped = Tapped { stream, tap: WrittenTap { written: written.clone(), tell } };
+        let handshake = http1::Builder::new().max_buf_size(HEAD_BYTES).handshake(TokioIo::new(tapped)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         // Errors reach the call that is out; between calls they only end the connection.
         let driver = tokio::spawn(async move { drop(connection.await) });
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -5,8 +5,8 @@
 mod world;
 
 use std::fs;
-use std::io::Write;
-use std::net::{TcpListener, TcpStream};
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::process::{Command, Stdio};
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -81,6 +81,21 @@
     assert!(forwarder.is_running());
 }
 
+#[test]
+fn a_client_that_ends_only_its_sending_side_has_its_answer() {
+    let (target, _platform, forwarder) = one_target(|_| OK);
+    for n in 1..=20 {
+        let mut stream = TcpStream::connect(forwarder.listen).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.write_all(&fee(&format!("m{n}")).bytes()).unwrap();
+        stream.shutdown(Shutdown::Write).unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).unwrap();
+        assert!(answer.starts_with("HTTP/1.1 202"), "message {n}: {answer:?}");
+        eventually("the call", || target.seen().len() == n);
+    }
+}
+
 #[test]
 fn a_key_goes_one_at_a_time_and_in_order() {
     let (target, _platform, forwarder) = one_target(|_| Reply::Later(MS(150), 200));
