Answer a request that is whole when its connection is told to make room

Seen: where all places are taken, the oldest newcomer is closed for a later connection. A request whose last byte had come but was not read yet was read, handed in and then cut off without an answer: clients::connection took the word to close after the request had settled its place (test a_request_that_is_whole_when_its_connection_is_to_make_room_has_its_answer, which fails without the change: "the client has its answer: UnexpectedEof").

A connection that has settled meanwhile stays, and the next newcomer makes room in its place.

--- a/src/bin/foldtrack/clients.rs
+++ b/src/bin/foldtrack/clients.rs
@@ -155,7 +155,7 @@
             served = poll_fn(|cx| serving.poll_without_shutdown(cx)) => break served,
             told = &mut closed, if newcomer => {
                 newcomer = false;
-                if told.is_ok() {
+                if told.is_ok() && !place.pass_on() {
                     return;
                 }
             }
--- a/src/bin/foldtrack/clients_tests.rs
+++ b/src/bin/foldtrack/clients_tests.rs
@@ -123,6 +123,35 @@
     assert_eq!(&answer, b"HTTP/1.1 503");
 }
 
+/// Takes on what is handed in, as the node does.
+async fn take_on(inputs: &mut UnboundedReceiver<Input>) {
+    match inputs.recv().await {
+        Some(Input::HandIn { reply, .. }) => {
+            let (to_node, _) = node::channel();
+            let _ = reply.send(Answer::TakenOn(Receipt::new(1, to_node)));
+        }
+        _ => panic!("nothing was handed in"),
+    }
+}
+
+/// A full house closes a newcomer to make room. One whose request is whole by then has settled: it has its answer, and
+/// the next newcomer goes in its place.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_is_whole_when_its_connection_is_to_make_room_has_its_answer() {
+    let places = Places::new(2);
+    let (mut client, _stage, mut inputs) = connect_among(&places).await;
+    let (mut silent, _silent_stage, _silent_inputs) = connect_among(&places).await;
+    client.write_all(LETTER).await.unwrap();
+    // Nothing has run since: the oldest newcomer is told to go before its request is read.
+    let (next, ()) = tokio::join!(places.enter(), take_on(&mut inputs));
+    assert!(next.is_some());
+    let mut answer = [0; 12];
+    client.read_exact(&mut answer).await.expect("the client has its answer");
+    assert_eq!(&answer, b"HTTP/1.1 202");
+    let (_, took) = until_closed(&mut silent).await;
+    assert!(took.is_zero(), "the silent peer stayed for {took:?}");
+}
+
 /// The message may go from the moment when its client can have heard of it, and not before.
 #[tokio::test(start_paused = true)]
 async fn a_message_counts_as_taken_on_once_its_answer_is_written_whole() {
--- a/src/bin/foldtrack/places.rs
+++ b/src/bin/foldtrack/places.rs
@@ -2,6 +2,7 @@
 //! those that send nothing, they would keep the others waiting to be accepted.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::{oneshot, OwnedSemaphorePermit, Semaphore};
 
@@ -19,6 +20,15 @@
     all.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// The newcomer that has been silent longest is to make room.
+fn close_oldest(all: &Shared<Newcomers>) {
+    let oldest = lock(all).closers.pop_first();
+    if let Some((_, closer)) = oldest {
+        // One that has just ended by itself makes room too.
+        let _ = closer.send(());
+    }
+}
+
 /// The places of one listener.
 #[derive(Clone)]
 pub(crate) struct Places {
@@ -32,6 +42,7 @@
 pub(crate) struct Place {
     number: u64,
     newcomers: Shared<Newcomers>,
+    settled: AtomicBool,
     _permit: OwnedSemaphorePermit,
 }
 
@@ -57,11 +68,7 @@
         let permit = match self.free.clone().try_acquire_owned() {
             Ok(permit) => permit,
             Err(_) => {
-                let oldest = lock(&self.newcomers).closers.pop_first();
-                if let Some((_, closer)) = oldest {
-                    // One that has just ended by itself makes room too.
-                    let _ = closer.send(());
-                }
+                close_oldest(&self.newcomers);
                 self.free.clone().acquire_owned().await.ok()?
             }
         };
@@ -70,15 +77,33 @@
         let number = newcomers.next;
         newcomers.next += 1;
         newcomers.closers.insert(number, closer);
-        Some((Place { number, newcomers: self.newcomers.clone(), _permit: permit }, closed))
+        Some((
+            Place {
+                number,
+                newcomers: self.newcomers.clone(),
+                settled: AtomicBool::new(false),
+                _permit: permit,
+            },
+            closed,
+        ))
     }
 }
 
 impl Place {
     /// The connection has asked for something: it keeps its place.
     pub fn settle(&self) {
+        self.settled.store(true, Ordering::Relaxed);
         lock(&self.newcomers).closers.remove(&self.number);
     }
+
+    /// Told to make room, a connection that has settled meanwhile has the next newcomer do so. Whether it may stay.
+    pub fn pass_on(&self) -> bool {
+        let settled = self.settled.load(Ordering::Relaxed);
+        if settled {
+            close_oldest(&self.newcomers);
+        }
+        settled
+    }
 }
 
 impl Drop for Place {
