Read on for a moment while a client's connection closes after its answer

A socket closed with unread bytes resets its connection, which can take back an answer on its way.

Ruled out on loopback: there the answer and the end of the connection come before the reset, and a client that reads has both, with and without the change. It is for networks that lose or delay packets, and for clients that write to the end before they read.

The operators' door did this already (200 ms); both now use streams::close, bounded by 200 ms and 256 KiB.

--- a/src/bin/foldtrack/clients.rs
+++ b/src/bin/foldtrack/clients.rs
@@ -4,7 +4,7 @@
 use crate::message::Message;
 use crate::node::{Answer, Input, Inputs, Receipt, Stage};
 use crate::places::{Place, Places};
-use crate::streams::{Tap, Tapped};
+use crate::streams::{self, Tap, Tapped};
 use bytes::Bytes;
 use hatchline::settings::Parsed;
 use hatchline::{Effect, Micros};
@@ -171,7 +171,7 @@
     if let Some(mut receipt) = doubtful.filter(|_| served.is_ok()) {
         receipt.written = has_heard(&mut client).await;
     }
-    let _ = client.shutdown().await;
+    streams::close(client).await;
 }
 
 /// Whether a client that had ended its sending side was there yet to have what was written to it.
--- a/src/bin/foldtrack/clients_tests.rs
+++ b/src/bin/foldtrack/clients_tests.rs
@@ -175,3 +175,20 @@
         }
     }
 }
+
+/// To close a socket with unread bytes resets it, which can take back an answer on its way.
+#[tokio::test(start_paused = true)]
+async fn a_client_that_sends_more_than_is_answered_is_read_on_while_its_connection_closes() {
+    let (mut client, stage, mut inputs) = connect_over(1024, &Places::new(1)).await;
+    stage.send_replace(Stage::Draining);
+    let more = [LETTER, &[b'x'; 3 * BUFFER]].concat();
+    let (mut reading, mut writing) = tokio::io::split(&mut client);
+    let sends = async {
+        writing.write_all(&more).await.expect("the rest is read");
+        writing.shutdown().await.expect("the connection stands");
+    };
+    let mut answer = String::new();
+    let (_, _, read) = tokio::join!(sends, take_on(&mut inputs), reading.read_to_string(&mut answer));
+    read.expect("an end");
+    assert!(answer.starts_with("HTTP/1.1 202"), "{answer}");
+}
--- a/src/bin/foldtrack/door.rs
+++ b/src/bin/foldtrack/door.rs
@@ -3,6 +3,7 @@
 
 use crate::node::{Input, Inputs};
 use crate::places::{Place, Places};
+use crate::streams;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
@@ -15,7 +16,6 @@
 use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
@@ -26,8 +26,6 @@
 const CALL_WAIT: Duration = Duration::from_millis(600);
 /// Where the node has not answered so long after a caller came, as while it waits to take over, the answer is no.
 const ANSWER_WAIT: Duration = Duration::from_millis(900);
-/// What a call sends beyond its answer is read for so long, or the close would take the answer back.
-const LINGER: Duration = Duration::from_millis(200);
 /// No call needs a body; a longer one than this is not read.
 const LONGEST_BODY: usize = 4 * 1024;
 /// Bytes of a call's head at most; the least that the HTTP library takes.
@@ -95,11 +93,7 @@
         .serve_connection(TokioIo::new(stream), service);
     // Errors are the caller's: it has gone, or does not speak HTTP.
     let _ = poll_fn(|cx| serving.poll_without_shutdown(cx)).await;
-    let mut stream = serving.into_parts().io.into_inner();
-    if stream.shutdown().await.is_ok() {
-        let mut rest = [0; 1024];
-        let _ = timeout(LINGER, async { while stream.read(&mut rest).await.is_ok_and(|n| n > 0) {} }).await;
-    }
+    streams::close(serving.into_parts().io.into_inner()).await;
 }
 
 async fn answer(
--- a/src/bin/foldtrack/streams.rs
+++ b/src/bin/foldtrack/streams.rs
@@ -1,9 +1,17 @@
-//! What stands between a socket and the HTTP library: a tap that lets on what passes.
+//! What stands between a socket and the HTTP library: a tap that lets on what passes, and the end of a connection that
+//! has been answered.
 
 use std::io;
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::time::timeout;
+
+/// What a peer sends beyond its answer is read for so long and so far: to close a socket with unread bytes resets the
+/// connection, which may take back an answer that is still on its way.
+const LINGER: Duration = Duration::from_millis(200);
+const LINGER_BYTES: usize = 256 * 1024;
 
 /// Hears what passes through a [`Tapped`] stream. The HTTP library flushes a stream once it has written what it holds.
 pub(crate) trait Tap<S> {
@@ -48,3 +56,20 @@
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
+
+/// Closes a connection without taking back what was last written to it.
+pub(crate) async fn close(mut stream: impl AsyncRead + AsyncWrite + Unpin) {
+    if stream.shutdown().await.is_err() {
+        return;
+    }
+    let rest = async {
+        let (mut buffer, mut seen) = ([0; 4096], 0);
+        while let Ok(n @ 1..) = stream.read(&mut buffer).await {
+            seen += n;
+            if seen > LINGER_BYTES {
+                return;
+            }
+        }
+    };
+    let _ = timeout(LINGER, rest).await;
+}
