Answer a request that has begun to come when connections close after SIGTERM

Seen: 500 ms after SIGTERM idle connections are told to close. On a kept connection a request of which the first bytes had come counted as none, and its connection was closed before its last byte (test a_request_that_comes_in_pieces_while_connections_close_has_its_answer fails without the change). The call at fault is graceful_shutdown in clients::connection: the HTTP library closes what it has parsed no head of.

What has begun to come is read on; its answer says that the connection closes, and the waits for a head and a body bound it as before.

--- a/src/bin/foldtrack/clients.rs
+++ b/src/bin/foldtrack/clients.rs
@@ -96,6 +96,8 @@
 /// How far a connection is with its present request.
 #[derive(Default)]
 struct Progress {
+    /// Bytes of it have come, and its answer is not written.
+    begun: bool,
     /// The answer is with the HTTP library: the next flush has written it.
     answered: bool,
     /// What tells whether that answer was written, if it takes a message on.
@@ -115,6 +117,10 @@
 }
 
 impl<S: Client> Tap<S> for Line {
+    fn read(&mut self, bytes: &[u8]) {
+        self.progress().begun |= !bytes.is_empty();
+    }
+
     fn flushed(&mut self, client: &S, cx: &mut Context) {
         let mut progress = self.progress();
         if !progress.answered {
@@ -161,7 +167,10 @@
             }
             _ = stage.wait_for(|s| *s == Stage::Closing), if !closing => {
                 closing = true;
-                Pin::new(&mut serving).graceful_shutdown();
+                // What has begun to come has an answer that closes the connection.
+                if !line.progress().begun {
+                    Pin::new(&mut serving).graceful_shutdown();
+                }
             }
         }
     };
--- a/src/bin/foldtrack/clients_tests.rs
+++ b/src/bin/foldtrack/clients_tests.rs
@@ -176,6 +176,24 @@
     }
 }
 
+/// A request of which a part has come when the process is about to end has its answer too, on a kept connection.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_comes_in_pieces_while_connections_close_has_its_answer() {
+    let (mut client, stage, mut inputs) = connect_among(&Places::new(1)).await;
+    client.write_all(LETTER).await.unwrap();
+    take_on(&mut inputs).await;
+    client.read_exact(&mut [0; 20]).await.expect("the first answer");
+    let (first, rest) = LETTER.split_at(30);
+    client.write_all(first).await.unwrap();
+    sleep(Duration::from_millis(1)).await;
+    stage.send_replace(Stage::Closing);
+    sleep(Duration::from_millis(1)).await;
+    client.write_all(rest).await.expect("the connection is open");
+    take_on(&mut inputs).await;
+    let (answer, _) = until_closed(&mut client).await;
+    assert!(answer.contains("HTTP/1.1 202") && answer.contains("connection: close"), "{answer}");
+}
+
 /// To close a socket with unread bytes resets it, which can take back an answer on its way.
 #[tokio::test(start_paused = true)]
 async fn a_client_that_sends_more_than_is_answered_is_read_on_while_its_connection_closes() {
--- a/src/bin/foldtrack/streams.rs
+++ b/src/bin/foldtrack/streams.rs
@@ -15,6 +15,7 @@
 
 /// Hears what passes through a [`Tapped`] stream. The HTTP library flushes a stream once it has written what it holds.
 pub(crate) trait Tap<S> {
+    fn read(&mut self, _bytes: &[u8]) {}
     fn flushed(&mut self, _stream: &S, _cx: &mut Context) {}
 }
 
@@ -24,9 +25,13 @@
     pub tap: T,
 }
 
-impl<S: AsyncRead + Unpin, T: Unpin> AsyncRead for Tapped<S, T> {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+impl<S: AsyncRead + Unpin, T: Tap<S> + Unpin> AsyncRead for Tapped<S, T> {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut this.stream).poll_read(cx, buf))?;
+        this.tap.read(&buf.filled()[before..]);
+        Poll::Ready(Ok(()))
     }
 }
 
