Take a message for delivered when its answer's first line says 200, however it ends

Seen: an answer whose head cannot be read, or breaks off in it, ended as a reset also where its first line says 200; the message was sent again, or given up (test an_answer_whose_first_line_says_200_has_delivered_however_it_ends fails without the change: responses.fee.ok 0). At fault: targets::call knew only what the HTTP library gives back, which throws the first line away with the rest.

--- a/src/bin/foldtrack/targets.rs
+++ b/src/bin/foldtrack/targets.rs
@@ -16,7 +16,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
 use std::{fmt, io};
@@ -32,6 +32,9 @@
 /// Bytes of an answer's head that are kept before it is given up.
 const HEAD_BYTES: usize = 16 * 1024;
 
+/// Bytes of an answer's first line that are kept: its status stands at the start.
+const LINE_BYTES: usize = 512;
+
 /// No message is being written.
 const NOTHING: usize = usize::MAX;
 
@@ -87,13 +90,47 @@
     }
 }
 
-/// Tells of each message that has been written whole.
-struct WrittenTap<F> {
+/// The first line of an answer, as far as it has come. The HTTP library drops it with an answer that it cannot read, or
+/// that ends too soon; where it says 200 the message is delivered all the same.
+#[derive(Clone, Default)]
+struct FirstLine(Arc<Mutex<Vec<u8>>>);
+
+impl FirstLine {
+    fn bytes(&self) -> MutexGuard<'_, Vec<u8>> {
+        // Each change is one call on it: a panic elsewhere leaves it whole.
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn add(&self, bytes: &[u8]) {
+        let mut line = self.bytes();
+        if line.ends_with(b"\n") {
+            return;
+        }
+        let end = bytes.iter().position(|b| *b == b'\n').map_or(bytes.len(), |at| at + 1);
+        let room = LINE_BYTES.saturating_sub(line.len());
+        line.extend_from_slice(&bytes[..end.min(room)]);
+    }
+
+    fn says_delivered(&self) -> bool {
+        let line = self.bytes();
+        let mut words = line.split(|b| b.is_ascii_whitespace());
+        let version = words.next().is_some_and(|word| word.starts_with(b"HTTP/"));
+        version && line.ends_with(b"\n") && words.next() == Some(b"200")
+    }
+}
+
+/// Tells of each message that has been written whole, and keeps the first line of its answer.
+struct CallTap<F> {
     written: Written,
+    first_line: FirstLine,
     tell: F,
 }
 
-impl<S, F: Fn(usize)> Tap<S> for WrittenTap<F> {
+impl<S, F: Fn(usize)> Tap<S> for CallTap<F> {
+    fn read(&mut self, bytes: &[u8]) {
+        self.first_line.add(bytes);
+    }
+
     fn flushed(&mut self, _: &S, _: &mut Context) {
         let class = self.written.swap(NOTHING, Ordering::Relaxed);
         if class != NOTHING {
@@ -107,6 +144,7 @@
     sender: SendRequest<Payload>,
     driver: JoinHandle<()>,
     written: Written,
+    first_line: FirstLine,
 }
 
 impl fmt::Debug for Connection {
@@ -136,12 +174,14 @@
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let written = Written::new(AtomicUsize::new(NOTHING));
-        let tapped = Tapped { stream, tap: WrittenTap { written: written.clone(), tell } };
+        let first_line = FirstLine::default();
+        let tap = CallTap { written: written.clone(), first_line: first_line.clone(), tell };
+        let tapped = Tapped { stream, tap };
         let handshake = http1::Builder::new().max_buf_size(HEAD_BYTES).handshake(TokioIo::new(tapped)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         // Errors reach the call that is out; between calls they only end the connection.
         let driver = tokio::spawn(async move { drop(connection.await) });
-        Ok(Connection { sender, driver, written })
+        Ok(Connection { sender, driver, written, first_line })
     }
 
     fn payload(&self, message: &Message) -> Payload {
@@ -150,6 +190,7 @@
 
     /// Hands a request to the connection and waits for the head of the answer.
     pub async fn send(&mut self, request: Request<Payload>) -> Result<Response<Incoming>, Failure> {
+        self.first_line.bytes().clear();
         self.sender.try_send_request(request).await.map_err(|mut error| match error.take_message() {
             Some(_) => Failure::Unsent,
             None => Failure::Broken,
@@ -285,7 +326,7 @@
     end.idle_for = idle.as_ref().map(|(idle_for, _)| *idle_for);
     let (reused, written) = (idle.is_some(), inputs.clone());
     // From when the request is with the connection only an answer proves that it has not run.
-    let mut handed_over = false;
+    let mut handed_over = None;
     let mut unused = None;
     let exchange = async {
         let mut connection = match idle {
@@ -307,7 +348,7 @@
         };
         let payload = connection.payload(&message);
         let request = request(&message, payload, address, until).ok_or(Outcome::NotSent)?;
-        handed_over = true;
+        handed_over = Some(connection.first_line.clone());
         match connection.send(request).await {
             Ok(response) => Ok((connection, response)),
             // A connection that was closed while it stood idle tells nothing of the target's health.
@@ -328,8 +369,12 @@
             let rest = timeout(REST_WAIT, connection.finish(response.into_body(), REST_BYTES)).await;
             end.connection = matches!(rest, Ok(Some(_))).then_some(connection);
         }
-        Err(Some(Outcome::Cancelled)) if !handed_over => end.outcome = Outcome::NotSent,
-        Err(None) if !handed_over => end.outcome = Outcome::ConnectFailed,
+        // The rest of the answer cannot be read, or does not come.
+        Err(_) if handed_over.as_ref().is_some_and(FirstLine::says_delivered) => {
+            (end.outcome, end.over) = (Outcome::Ok, true);
+        }
+        Err(Some(Outcome::Cancelled)) if handed_over.is_none() => end.outcome = Outcome::NotSent,
+        Err(None) if handed_over.is_none() => end.outcome = Outcome::ConnectFailed,
         Err(None) => end.outcome = Outcome::TimedOut,
         Err(Some(outcome)) => (end.outcome, end.connection) = (outcome, unused),
     }
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -280,6 +280,26 @@
     }
 }
 
+/// The first line is true, whatever becomes of the rest: the message is delivered, and nothing is owed for it.
+#[test]
+fn an_answer_whose_first_line_says_200_has_delivered_however_it_ends() {
+    let whole = Reply::Raw(b"HTTP/1.1 200 OK\r\nthis is no header\r\n\r\n");
+    let cut = Reply::Cut(b"HTTP/1.1 200 OK\r\nContent-Le");
+    for reply in [whole, cut] {
+        let (target, platform, forwarder) = one_target(move |_| reply.clone());
+        assert_eq!(forwarder.hand_in(&fee("m1")), 202);
+        eventually("it is over", || door::figure_at(&forwarder, "active") == 0);
+        assert_eq!(door::figure_at(&forwarder, "responses.fee.ok"), 1);
+        assert_eq!(target.ids(), ["m1"]);
+        assert!(platform.notices().is_empty());
+    }
+    for bytes in [&b"HTTP/1.1 20"[..], b"HTTP/1.1 2000 OK\r\n\r\n", b"200 OK\r\n\r\n"] {
+        let (_target, platform, forwarder) = one_target(move |_| Reply::Cut(bytes));
+        assert_eq!(forwarder.hand_in(&fee("m1")), 202);
+        eventually("the notice", || platform.has("m1", "given_up"));
+    }
+}
+
 #[test]
 fn the_table_of_outcomes_is_kept() {
     // Never ran: an unsafe message goes again.
--- a/tests/forwarder/world.rs
+++ b/tests/forwarder/world.rs
@@ -49,6 +49,8 @@
     Body(Vec<u8>),
     /// Writes these bytes, whatever they mean.
     Raw(&'static [u8]),
+    /// Writes these bytes and closes the connection.
+    Cut(&'static [u8]),
     /// Answers 200 and closes the connection without having said so.
     OkAndClose,
     /// Answers after a while.
@@ -130,6 +132,10 @@
                 Reply::Status(code, headers) => status(code, headers, b""),
                 Reply::Body(body) => status(200, "", &body),
                 Reply::Raw(bytes) => bytes.to_vec(),
+                Reply::Cut(bytes) => {
+                    let _ = stream.write_all(bytes);
+                    return;
+                }
                 Reply::Later(after, code) => {
                     thread::sleep(after);
                     status(code, "", b"")
