Send notices again on a new connection after 100 ms without an answer, not 2 s

Seen: a notice whose connection stood and stayed silent went again after 2 s (REPORT_WAIT in platform.rs); it counts until 300 ms after its message's time.

Test notices_on_a_silent_connection_go_again_on_another: without the change the report ends with no status.

--- a/src/bin/foldtrack/platform.rs
+++ b/src/bin/foldtrack/platform.rs
@@ -6,7 +6,7 @@
 use hatchline::Settings;
 use http_body_util::{BodyExt, Limited};
 use hyper::header::{CONNECTION, CONTENT_TYPE, HOST};
-use hyper::{Method, Request, StatusCode};
+use hyper::{Request, StatusCode};
 use serde::{Deserialize, Deserializer};
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -37,8 +37,11 @@
 /// An agent that answers each watch at once, without news, is not asked more often than this.
 const EMPTY_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_LIST: usize = 4 << 20;
-/// A report without an answer for so long goes again on a new connection.
-const REPORT_WAIT: Duration = Duration::from_secs(2);
+/// Notices without an answer for so long go again on a new connection, with twice as long to wait, until it is the
+/// longest. The agent answers at once, and notices count until 300 ms after their messages' time: where a connection is
+/// lost, the next has to be made within that.
+const FIRST_REPORT_WAIT: Duration = Duration::from_millis(100);
+const LONGEST_REPORT_WAIT: Duration = Duration::from_millis(800);
 
 #[derive(Clone, Debug, Default, Deserialize)]
 pub(crate) struct ServerList {
@@ -184,20 +187,57 @@
     }
 }
 
+fn post(address: SocketAddr, lines: Bytes) -> Option<Request<Payload>> {
+    let request = Request::post("/reports").header(HOST, address.to_string());
+    request.header(CONTENT_TYPE, "application/json").body(Payload::uncounted(lines)).ok()
+}
+
 /// Sends notices, one JSON object a line, and tells whether they were taken, or cannot be read.
 pub(crate) async fn report(address: SocketAddr, lines: String, numbers: Vec<u64>, inputs: Inputs) {
-    let request = Request::builder()
-        .method(Method::POST)
-        .uri("/reports")
-        .header(HOST, address.to_string())
-        .header(CONTENT_TYPE, "application/json")
-        .body(Payload::uncounted(Bytes::from(lines)));
-    let status = match request {
-        Ok(request) => match timeout(REPORT_WAIT, exchange(&mut None, address, request)).await {
-            Ok(Some((status, _))) => Some(status),
-            _ => None,
-        },
-        Err(_) => None,
+    let lines = Bytes::from(lines);
+    let mut wait = FIRST_REPORT_WAIT;
+    let status = loop {
+        let Some(request) = post(address, lines.clone()) else { break None };
+        match timeout(wait, exchange(&mut None, address, request)).await {
+            Ok(answer) => break answer.map(|(status, _)| status),
+            Err(_) if wait < LONGEST_REPORT_WAIT => wait *= 2,
+            Err(_) => break None,
+        }
+        eprintln!("{} notices go again: no answer from {address}", numbers.len());
     };
     inputs.send(Input::Reported { numbers, status });
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::node;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+
+    /// One report takes more than one connection, though the first says nothing: a notice that came only after a
+    /// longer wait would be too late.
+    #[tokio::test]
+    async fn notices_on_a_silent_connection_go_again_on_another() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (inputs, mut receiver) = node::channel();
+        tokio::spawn(report(address, "{}\n".into(), vec![7], inputs));
+        let _silent = listener.accept().await.unwrap();
+        let agent = async {
+            let mut kept = Vec::new();
+            loop {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let _ = stream.read(&mut [0; 1024]).await;
+                let _ = stream.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").await;
+                kept.push(stream);
+            }
+        };
+        let told = tokio::select! {
+            told = receiver.recv() => told,
+            () = agent => None,
+        };
+        let Some(Input::Reported { numbers, status }) = told else { panic!("nothing was told") };
+        assert_eq!((numbers, status), (vec![7], Some(StatusCode::NO_CONTENT)));
+    }
+}
