Log each message that ends undelivered, and count answers that were cut short

The line a second now tells how many answers told their outcome and did not come to their end ("cut short 21").

--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -706,6 +706,7 @@
     fn call_ended(&mut self, end: CallEnd) {
         self.calls.remove(&(end.number, end.attempt));
         self.tally.ended(end.outcome, end.begun.elapsed(), end.idle_for);
+        self.tally.cut_short += u32::from(end.cut_short);
         let same_era = self.servers[end.target as usize].era == end.era;
         if let Some(connection) = end.connection.filter(|_| same_era) {
             self.idle.put(end.target, connection);
@@ -754,16 +755,11 @@
             let _ = reply.send(Answer::Refused { retry_in_ms });
             return;
         }
-        match notice {
-            Notice::GivenUp => {
-                self.tally.given_up += 1;
-                self.figures.ended(class, Ended::Error);
-            }
-            Notice::HandedBack { .. } => {
-                self.tally.handed_back += 1;
-                self.figures.ended(class, Ended::Shed);
-            }
-        }
+        let ended = if matches!(notice, Notice::GivenUp) { Ended::Error } else { Ended::Shed };
+        self.figures.ended(class, ended);
+        let left = held.message.expires as i64 - self.clock.now() as i64;
+        let line = self.tally.undelivered(&held.message.id, notice, held.attempts, left);
+        line.into_iter().for_each(|line| eprintln!("{line}"));
         self.record(number, &Record::Noticed(notice));
         let ending = Ending { id: held.message.id.clone(), order_key: held.message.order_key(), notice };
         self.notices.insert(number, ending);
--- a/src/bin/foldtrack/tally.rs
+++ b/src/bin/foldtrack/tally.rs
@@ -1,21 +1,27 @@
 //! What the forwarder has done of late, in one line of the log a second at most: where the slots and the room
 //! are, how calls ended, and how far behind the loop and the notices are.
 
+use crate::journal::Notice;
 use hatchline::{Micros, Outcome};
 use std::fmt::Write;
 use std::time::Duration;
 
+/// Lines on single messages between two of the lines a second.
+const UNDELIVERED_LINES: u32 = 10;
+
 /// Counts since the last line.
 #[derive(Debug, Default)]
 pub(crate) struct Tally {
     pub taken: u32,
     pub refused: u32,
-    pub handed_back: u32,
-    pub given_up: u32,
+    handed_back: u32,
+    given_up: u32,
     /// Clients that went before their answer was written.
     pub gone: u32,
     /// Calls by their outcome, and for how long they held their slots.
     ended: [u32; 8],
+    /// Answers that told their outcome, but did not come to their end.
+    pub cut_short: u32,
     busy: [Duration; 8],
     /// Resets of connections that had stood idle, the shortest such span, and the longest that did no harm.
     stale: u32,
@@ -66,6 +72,20 @@
         }
     }
 
+    /// A message that was taken on ends by a notice; a line on it, unless there were many of late.
+    pub fn undelivered(&mut self, id: &str, notice: Notice, attempts: u32, left: i64) -> Option<String> {
+        let what = match notice {
+            Notice::GivenUp => "given up",
+            Notice::HandedBack { .. } => "handed back",
+        };
+        match notice {
+            Notice::GivenUp => self.given_up += 1,
+            Notice::HandedBack { .. } => self.handed_back += 1,
+        }
+        let few = self.given_up + self.handed_back <= UNDELIVERED_LINES;
+        few.then(|| format!("message {id}: {what} after {attempts} attempts, {left} us before its time"))
+    }
+
     /// The line, and a fresh count; nothing for a span in which nothing happened.
     pub fn line(&mut self, s: &Standing) -> Option<String> {
         let t = std::mem::take(self);
@@ -82,8 +102,9 @@
         }
         let _ = write!(
             text,
-            " dialled {}, stale {} (idle for {:?} or more, sound to {:?}); held {} waiting {} calls out {} \
+            " cut short {}, dialled {}, stale {} (idle for {:?} or more, sound to {:?}); held {} waiting {} calls out {} \
              idle connections {} notices {}; longest round {} us",
+            t.cut_short,
             t.dialled,
             t.stale,
             t.stale_from.unwrap_or_default(),
@@ -121,4 +142,16 @@
         let stuck = Standing { held: 1, ..quiet };
         assert!(tally.line(&stuck).is_some_and(|l| l.contains("held 1")));
     }
+
+    #[test]
+    fn messages_that_end_undelivered_have_a_line_each_while_they_are_few() {
+        let mut tally = Tally::default();
+        let lines: Vec<_> =
+            (0..50).filter_map(|_| tally.undelivered("m1", Notice::GivenUp, 2, 3_000)).collect();
+        assert_eq!(lines.len(), UNDELIVERED_LINES as usize);
+        assert_eq!(lines[0], "message m1: given up after 2 attempts, 3000 us before its time");
+        let line = tally.line(&Standing { held: 0, waiting: 0, calls: 0, idle: 0, notices: 0 });
+        assert!(line.is_some_and(|l| l.contains("given up 50")));
+        assert!(tally.undelivered("m2", Notice::HandedBack { retry_in_ms: 0 }, 0, 0).is_some());
+    }
 }
--- a/src/bin/foldtrack/targets.rs
+++ b/src/bin/foldtrack/targets.rs
@@ -291,6 +291,8 @@
     /// Nothing is to be sent to the destination until then.
     pub wait_until: Option<Instant>,
     pub report: Option<LimitReport>,
+    /// The answer told its outcome and did not come to its end.
+    pub cut_short: bool,
     /// That of the call.
     pub era: u32,
     /// Fit for the next call.
@@ -301,7 +303,7 @@
     /// The end of a call that began now and told nothing more.
     pub fn new(number: u64, attempt: u32, target: TargetId, outcome: Outcome, over: bool) -> CallEnd {
         let begun = Instant::now();
-        let (idle_for, wait_until, report, era, connection) = (None, None, None, 0, None);
+        let (idle_for, wait_until, report, cut_short, era, connection) = (None, None, None, false, 0, None);
         CallEnd {
             number,
             attempt,
@@ -312,6 +314,7 @@
             idle_for,
             wait_until,
             report,
+            cut_short,
             era,
             connection,
         }
@@ -368,10 +371,11 @@
             read_head(&mut end, &response, reports);
             let rest = timeout(REST_WAIT, connection.finish(response.into_body(), REST_BYTES)).await;
             end.connection = matches!(rest, Ok(Some(_))).then_some(connection);
+            end.cut_short = end.connection.is_none();
         }
         // The rest of the answer cannot be read, or does not come.
         Err(_) if handed_over.as_ref().is_some_and(FirstLine::says_delivered) => {
-            (end.outcome, end.over) = (Outcome::Ok, true);
+            (end.outcome, end.over, end.cut_short) = (Outcome::Ok, true, true);
         }
         Err(Some(Outcome::Cancelled)) if handed_over.is_none() => end.outcome = Outcome::NotSent,
         Err(None) if handed_over.is_none() => end.outcome = Outcome::ConnectFailed,
