Send notices within the node's own turn, and to where discovery is now

Messages handed back 46 ms late were lost. platform::report was a task, its connection's driver another: a notice was decided, written, heard and noted in four turns of all that is ready, up to 258 ms each by the log, while 300 ms count; the 100 ms without an answer passed while the answer lay in the socket, so that notices went again on new connections.

Now the reports run within the node's future (platform::Reports): a notice on the kept connection is written when the round that decided it is over, and its answer read before other inputs. A report asks for the address before each attempt and leaves an old one the moment that discovery moves; it kept to it for up to 1.5 s. The pause after a failure holds up that report only.

Tests: a notice is written in one look, with nothing else run; a report goes to the new address in one look. Both seen to fail without.

--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -10,7 +10,7 @@
 use crate::message::{order_key, Message};
 use crate::out::{self, TakenOut};
 use crate::places::Places;
-use crate::platform::{self, KeptConnection, ServerList, ServerState};
+use crate::platform::{self, Reports, ServerList, ServerState};
 use crate::relay::Rest;
 use crate::strain::Strain;
 use crate::tally::{Standing, Tally};
@@ -41,10 +41,8 @@
 /// After SIGTERM: how long connections are still accepted, and by when the process has ended.
 const ACCEPT_ON: Duration = Duration::from_millis(500);
 const END_BY: Duration = Duration::from_millis(3300);
-/// Reports under way at once, notices in one, and the pause after one that failed.
-const REPORTS: usize = 8;
+/// Notices in one report.
 const NOTICES: usize = 64;
-const REPORT_PAUSE: Micros = 100_000;
 /// A send that has waited for longer than this is decided anew.
 const STALE_SEND: Micros = 50_000;
 /// How long the start waits for the list.
@@ -115,10 +113,9 @@
     },
     CallEnded(CallEnd),
     List(ServerList),
-    /// Notices were answered with this status, or not at all.
+    /// Notices were taken.
     Reported {
         numbers: Vec<u64>,
-        status: Option<StatusCode>,
     },
     /// Discovery is found there from now on.
     Discovery(SocketAddr),
@@ -209,9 +206,7 @@
     /// Ends that the platform has not taken yet, and which of them are to be sent now.
     notices: BTreeMap<u64, Ending>,
     unsent: BTreeSet<u64>,
-    reports_out: usize,
-    reports_from: Micros,
-    report_connection: KeptConnection,
+    reports: Reports,
     /// By message and attempt: where it went, and what calls it off.
     calls: BTreeMap<(u64, u32), (TargetId, oneshot::Sender<()>)>,
     idle: IdleConnections,
@@ -301,6 +296,8 @@
         let wake = node.wake_at();
         tokio::select! {
             biased;
+            // First, since this writes what the round has decided.
+            numbers = node.reports.taken() => batch.push(Input::Reported { numbers }),
             _ = receiver.recv_many(&mut batch, ROUND) => {}
             () = sleep_until(wake) => {}
         }
@@ -316,6 +313,7 @@
         let settings = &config.settings.settings;
         let room = config.disk_bytes.saturating_sub(out::ROOM);
         let (journal, restored) = Journal::open(&config.state, room, settings.max_attempts)?;
+        let discovery = watch::Sender::new(config.discovery);
         let conn_idle = Duration::from_micros(settings.connection_idle);
         let node = Node {
             clock,
@@ -323,15 +321,13 @@
             settings: config.settings.clone(),
             journal,
             inputs: inputs.clone(),
-            discovery: watch::Sender::new(config.discovery),
+            reports: Reports::new(discovery.subscribe()),
+            discovery,
             next_number: restored.last_key_value().map_or(1, |(number, _)| number + 1),
             messages: BTreeMap::new(),
             fresh: Vec::new(),
             notices: BTreeMap::new(),
             unsent: BTreeSet::new(),
-            reports_out: 0,
-            reports_from: 0,
-            report_connection: KeptConnection::default(),
             calls: BTreeMap::new(),
             idle: IdleConnections::new(conn_idle, config.sockets / 4),
             swept: Instant::now(),
@@ -424,7 +420,7 @@
                 let kind = if list.full { ListKind::Full } else { ListKind::Delta };
                 self.list(list, kind);
             }
-            Input::Reported { numbers, status } => self.reported(numbers, status),
+            Input::Reported { numbers } => self.reported(numbers),
             Input::Connected { number, target, go } => {
                 let _ = go.send(self.brain.may_go(self.clock.now(), number, target));
             }
@@ -437,8 +433,6 @@
             Input::Discovery(address) => {
                 eprintln!("discovery is at {address} from now on");
                 self.discovery.send_replace(address);
-                // What the old address did not take goes to the new one at once.
-                self.reports_from = 0;
             }
             Input::Successor(stream) => self.successor = Some(stream),
             Input::Terminate => {
@@ -787,7 +781,7 @@
     }
 
     fn report_notices(&mut self) {
-        while !self.unsent.is_empty() && self.reports_out < REPORTS && self.clock.now() >= self.reports_from {
+        while !self.unsent.is_empty() && self.reports.has_room() {
             let numbers: Vec<u64> = self.unsent.iter().copied().take(NOTICES).collect();
             let mut lines = String::new();
             for number in &numbers {
@@ -802,28 +796,19 @@
                 };
                 lines.push_str(&format!("{line}\n"));
             }
-            self.reports_out += 1;
-            let discovery = *self.discovery.borrow();
-            let kept = self.report_connection.clone();
-            tokio::spawn(platform::report(discovery, lines, numbers, kept, self.inputs.clone()));
-        }
-    }
-
-    fn reported(&mut self, numbers: Vec<u64>, status: Option<StatusCode>) {
-        self.reports_out -= 1;
-        if status == Some(StatusCode::NO_CONTENT) {
-            for number in numbers {
-                self.record(number, &Record::Over);
-                let key = self.notices.remove(&number).map_or(0, |ended| ended.order_key);
-                let next = |h: &Held| key != 0 && h.waiting.is_some() && h.message.order_key() == key;
-                let waiting = self.messages.iter().find(|(_, h)| next(h)).map(|(number, _)| *number);
-                waiting.into_iter().for_each(|next| self.send(next));
-            }
-            return;
+            self.reports.send(lines, numbers);
+        }
+    }
+
+    /// The platform has taken these notices: their messages are over.
+    fn reported(&mut self, numbers: Vec<u64>) {
+        for number in numbers {
+            self.record(number, &Record::Over);
+            let key = self.notices.remove(&number).map_or(0, |ended| ended.order_key);
+            let next = |h: &Held| key != 0 && h.waiting.is_some() && h.message.order_key() == key;
+            let waiting = self.messages.iter().find(|(_, h)| next(h)).map(|(number, _)| *number);
+            waiting.into_iter().for_each(|next| self.send(next));
         }
-        eprintln!("notices were not taken: {status:?}");
-        self.reports_from = self.clock.now() + REPORT_PAUSE;
-        self.unsent.extend(numbers);
     }
 
     /// The steps to the end of a process that was told to end.
@@ -844,12 +829,10 @@
 
     fn wake_at(&self) -> Instant {
         let timer = self.timers.first().map(|(at, _)| self.clock.instant(*at));
-        let reports = (!self.unsent.is_empty()).then(|| self.clock.instant(self.reports_from));
         let stop = self.terminated.map(|at| {
             let steps = [at + ACCEPT_ON, at + 2 * ACCEPT_ON, at + END_BY];
             steps.into_iter().find(|s| *s > Instant::now()).unwrap_or(at)
         });
-        let wakes = [timer, reports.filter(|_| self.reports_out < REPORTS), stop];
-        wakes.into_iter().flatten().min().unwrap_or_else(|| Instant::now() + SWEEP)
+        [timer, stop].into_iter().flatten().min().unwrap_or_else(|| Instant::now() + SWEEP)
     }
 }
--- a/src/bin/foldtrack/platform.rs
+++ b/src/bin/foldtrack/platform.rs
@@ -4,14 +4,21 @@
 use crate::targets::{Connection, Payload};
 use bytes::Bytes;
 use hatchline::Settings;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONNECTION, CONTENT_TYPE, HOST};
 use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Deserializer};
 use serde_json::Value;
+use std::future::{poll_fn, Future};
+use std::io;
 use std::net::SocketAddr;
+use std::pin::{pin, Pin};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::Poll;
 use std::time::Duration;
+use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout, Instant};
 
@@ -43,6 +50,11 @@
 /// lost, the next has to be made within that.
 const FIRST_REPORT_WAIT: Duration = Duration::from_millis(100);
 const LONGEST_REPORT_WAIT: Duration = Duration::from_millis(800);
+/// Reports under way at once, and the pause of one after a failure.
+const REPORTS: usize = 8;
+const REPORT_PAUSE: Duration = Duration::from_millis(100);
+/// What the agent says to a notice is its status.
+const LONGEST_ANSWER: usize = 64 * 1024;
 
 #[derive(Clone, Debug, Default, Deserialize)]
 pub(crate) struct ServerList {
@@ -188,87 +200,227 @@
     }
 }
 
-/// A connection for notices that stands idle: a new one for each would cost more than they do.
-#[derive(Clone, Default)]
-pub(crate) struct KeptConnection(Arc<Mutex<Option<(SocketAddr, Connection)>>>);
+/// A connection for notices. What moves it runs within the call on it: a task of its own would have to wait for its turn
+/// behind all that is ready, twice for each notice.
+struct AgentLine {
+    sender: SendRequest<Full<Bytes>>,
+    driver: Option<Pin<Box<dyn Future<Output = ()> + Send>>>,
+}
 
-impl KeptConnection {
-    fn slot(&self) -> MutexGuard<'_, Option<(SocketAddr, Connection)>> {
-        // Each change is an assignment: a panic elsewhere leaves it whole.
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+impl AgentLine {
+    async fn open(address: SocketAddr) -> io::Result<AgentLine> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        // Errors reach the call that is out.
+        let driver = async move { drop(connection.await) };
+        Ok(AgentLine { sender, driver: Some(Box::pin(driver)) })
     }
 
-    /// The one to this address; one to another is closed.
-    fn take(&self, address: SocketAddr) -> Option<Connection> {
-        self.slot().take().filter(|(to, _)| *to == address).map(|(_, connection)| connection)
+    /// The status of the answer to one request, and whether another may follow.
+    async fn call(&mut self, request: Request<Full<Bytes>>) -> Option<(StatusCode, bool)> {
+        let AgentLine { sender, driver } = self;
+        let call = async {
+            let (head, body) = sender.send_request(request).await.ok()?.into_parts();
+            let whole = Limited::new(body, LONGEST_ANSWER).collect().await.is_ok();
+            Some((head.status, whole && sender.ready().await.is_ok()))
+        };
+        let mut call = pin!(call);
+        poll_fn(|cx| {
+            // Written at once, and an answer that has come is read at once.
+            let answer = call.as_mut().poll(cx);
+            if answer.is_ready() {
+                return answer;
+            }
+            if driver.as_mut().is_some_and(|driver| driver.as_mut().poll(cx).is_ready()) {
+                *driver = None;
+            }
+            call.as_mut().poll(cx)
+        })
+        .await
     }
+}
 
-    fn put(&self, address: SocketAddr, connection: Option<Connection>) {
-        if let Some(connection) = connection {
-            *self.slot() = Some((address, connection));
-        }
+/// A connection that stands idle: a new one for each notice would cost more than they do.
+type KeptLine = Arc<Mutex<Option<(SocketAddr, AgentLine)>>>;
+
+fn kept(slot: &KeptLine) -> MutexGuard<'_, Option<(SocketAddr, AgentLine)>> {
+    // Each change is an assignment: a panic elsewhere leaves it whole.
+    slot.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Notices under way. They run within the node's own turn: each is written in the turn in which it is decided.
+pub(crate) struct Reports {
+    out: Vec<Pin<Box<dyn Future<Output = Vec<u64>> + Send>>>,
+    kept: KeptLine,
+    discovery: watch::Receiver<SocketAddr>,
+}
+
+impl Reports {
+    /// To discovery, wherever it is.
+    pub fn new(discovery: watch::Receiver<SocketAddr>) -> Reports {
+        Reports { out: Vec::new(), kept: KeptLine::default(), discovery }
+    }
+
+    pub fn has_room(&self) -> bool {
+        self.out.len() < REPORTS
+    }
+
+    /// Sends notices, one JSON object a line, until they are taken.
+    pub fn send(&mut self, lines: String, numbers: Vec<u64>) {
+        let (slot, discovery) = (self.kept.clone(), self.discovery.clone());
+        self.out.push(Box::pin(async move {
+            report(Bytes::from(lines), numbers.len(), slot, discovery).await;
+            numbers
+        }));
+    }
+
+    /// The next that are taken. All go on while this is awaited.
+    pub async fn taken(&mut self) -> Vec<u64> {
+        poll_fn(|cx| {
+            for at in 0..self.out.len() {
+                if let Poll::Ready(numbers) = self.out[at].as_mut().poll(cx) {
+                    drop(self.out.swap_remove(at));
+                    return Poll::Ready(numbers);
+                }
+            }
+            Poll::Pending
+        })
+        .await
     }
 }
 
-fn post(address: SocketAddr, lines: Bytes) -> Option<Request<Payload>> {
-    let request = Request::post("/reports").header(HOST, address.to_string());
-    request.header(CONTENT_TYPE, "application/json").body(Payload::uncounted(lines)).ok()
+/// Posts notices on the kept connection or a new one; the status of the answer, if one came.
+async fn post(address: SocketAddr, lines: Bytes, slot: &KeptLine) -> Option<StatusCode> {
+    loop {
+        // One to another address is closed.
+        let kept_line = kept(slot).take().filter(|(to, _)| *to == address);
+        let reused = kept_line.is_some();
+        let mut line = match kept_line {
+            Some((_, line)) => line,
+            None => AgentLine::open(address).await.ok()?,
+        };
+        let request = Request::post("/reports").header(HOST, address.to_string());
+        let request = request.header(CONTENT_TYPE, "application/json").body(Full::new(lines.clone())).ok()?;
+        match line.call(request).await {
+            Some((status, usable)) => {
+                *kept(slot) = usable.then_some((address, line));
+                return Some(status);
+            }
+            // It was closed while it stood idle.
+            None if reused => continue,
+            None => return None,
+        }
+    }
 }
 
-/// Sends notices, one JSON object a line, and tells whether they were taken, or cannot be read.
-pub(crate) async fn report(
-    address: SocketAddr, lines: String, numbers: Vec<u64>, kept: KeptConnection, inputs: Inputs,
-) {
-    let lines = Bytes::from(lines);
-    let mut connection = kept.take(address);
+async fn report(lines: Bytes, count: usize, slot: KeptLine, mut discovery: watch::Receiver<SocketAddr>) {
     let mut wait = FIRST_REPORT_WAIT;
-    let status = loop {
-        let Some(request) = post(address, lines.clone()) else { break None };
-        let reused = connection.is_some();
-        match timeout(wait, exchange(&mut connection, address, request)).await {
-            Ok(Some((status, _))) => break Some(status),
-            // It was closed while it stood idle.
-            Ok(None) if reused => continue,
-            Ok(None) => break None,
-            Err(_) if wait < LONGEST_REPORT_WAIT => wait *= 2,
-            Err(_) => break None,
+    loop {
+        let address = *discovery.borrow_and_update();
+        let attempt = async {
+            match timeout(wait, post(address, lines.clone(), &slot)).await {
+                Ok(Some(StatusCode::NO_CONTENT)) => return true,
+                Ok(status) => {
+                    eprintln!("{count} notices were not taken by {address}: {status:?}");
+                    sleep(REPORT_PAUSE).await;
+                }
+                Err(_) => eprintln!("{count} notices go again: no answer from {address}"),
+            }
+            false
+        };
+        tokio::select! {
+            biased;
+            taken = attempt => if taken { return },
+            // What the old address has not taken goes to the new one at once.
+            Ok(()) = discovery.changed() => continue,
         }
-        eprintln!("{} notices go again: no answer from {address}", numbers.len());
-    };
-    kept.put(address, connection);
-    inputs.send(Input::Reported { numbers, status });
+        wait = (2 * wait).min(LONGEST_REPORT_WAIT);
+    }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::node;
+    use std::task::{Context, Waker};
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::net::TcpListener;
 
+    async fn listen() -> (TcpListener, SocketAddr) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        (listener, address)
+    }
+
+    /// Takes the notices of each connection that comes.
+    async fn take_all(listener: &TcpListener) {
+        let mut kept = Vec::new();
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let _ = stream.read(&mut [0; 1024]).await;
+            let _ = stream.write_all(TAKEN).await;
+            kept.push(stream);
+        }
+    }
+
+    const TAKEN: &[u8] = b"HTTP/1.1 204 No Content\r\n\r\n";
+    const LONG: Duration = Duration::from_secs(10);
+
     /// One report takes more than one connection, though the first says nothing: a notice that came only after a
     /// longer wait would be too late.
     #[tokio::test]
     async fn notices_on_a_silent_connection_go_again_on_another() {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let (inputs, mut receiver) = node::channel();
-        tokio::spawn(report(address, "{}\n".into(), vec![7], KeptConnection::default(), inputs));
-        let _silent = listener.accept().await.unwrap();
+        let (listener, address) = listen().await;
+        let (_discovery, seen) = watch::channel(address);
+        let mut reports = Reports::new(seen);
+        reports.send("{}\n".into(), vec![7]);
         let agent = async {
-            let mut kept = Vec::new();
-            loop {
-                let (mut stream, _) = listener.accept().await.unwrap();
-                let _ = stream.read(&mut [0; 1024]).await;
-                let _ = stream.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").await;
-                kept.push(stream);
-            }
+            let _silent = listener.accept().await.unwrap();
+            take_all(&listener).await;
         };
-        let told = tokio::select! {
-            told = receiver.recv() => told,
-            () = agent => None,
+        let taken = tokio::select! {
+            taken = timeout(LONG, reports.taken()) => taken,
+            () = agent => unreachable!(),
         };
-        let Some(Input::Reported { numbers, status }) = told else { panic!("nothing was told") };
-        assert_eq!((numbers, status), (vec![7], Some(StatusCode::NO_CONTENT)));
+        assert_eq!(taken, Ok(vec![7]));
+    }
+
+    /// scrape+rate+leave with little processor time: each hand from task to task waited for a turn of all that was ready.
+    #[tokio::test]
+    async fn a_notice_on_a_kept_connection_is_written_and_its_answer_read_without_another_task() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let (_discovery, seen) = watch::channel(listener.local_addr().unwrap());
+        let mut reports = Reports::new(seen);
+        let address = listener.local_addr().unwrap();
+        *kept(&reports.kept) = Some((address, AgentLine::open(address).await.unwrap()));
+        let mut agent = listener.accept().unwrap().0;
+        agent.set_read_timeout(Some(LONG)).unwrap();
+        for number in [1, 2] {
+            reports.send(format!("notice {number}\n"), vec![number]);
+            // One look is all it takes: nothing else runs before the agent reads it.
+            assert!(pin!(reports.taken()).poll(&mut Context::from_waker(Waker::noop())).is_pending());
+            let mut heard = [0; 1024];
+            let n = std::io::Read::read(&mut agent, &mut heard).expect("a notice");
+            assert!(String::from_utf8_lossy(&heard[..n]).contains(&format!("notice {number}")));
+            std::io::Write::write_all(&mut agent, TAKEN).unwrap();
+            assert_eq!(timeout(LONG, reports.taken()).await, Ok(vec![number]));
+        }
+    }
+
+    /// By the terms the old address is closed 1.5 s after discovery has moved: notices that it has not taken go to the
+    /// new one at the next look, not after its time for an answer.
+    #[tokio::test]
+    async fn notices_that_an_old_address_has_not_taken_go_to_the_new_one_at_once() {
+        let ((_old, old_address), new) =
+            (listen().await, std::net::TcpListener::bind("127.0.0.1:0").unwrap());
+        let (discovery, seen) = watch::channel(old_address);
+        let mut reports = Reports::new(seen);
+        reports.send("{}\n".into(), vec![7]);
+        let mut look = || pin!(reports.taken()).poll(&mut Context::from_waker(Waker::noop())).is_pending();
+        assert!(look());
+        discovery.send_replace(new.local_addr().unwrap());
+        assert!(look());
+        new.set_nonblocking(true).unwrap();
+        new.accept().expect("a connection to the new address");
     }
 }
