Count a message's time from before its request waited to be read

Now what a connection may have waited to be accepted (since the queue was last empty, 400 ms at most: who still hears an answer has waited no longer), what its request waited at the turnstile, and a mean turn are taken off.

Tests: the wait counts, once; a pass tells how long it took.

--- a/src/bin/foldtrack/clients.rs
+++ b/src/bin/foldtrack/clients.rs
@@ -28,7 +28,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 
 const LONGEST_BODY: usize = 64 * 1024;
 /// The list numbers destinations in 16 bits: a message for a higher number could never go anywhere.
@@ -42,8 +42,10 @@
 const BODY_WAIT: Duration = Duration::from_millis(500);
 /// Where a client has gone, what is written to it is turned away within this span: the way there and back.
 const HEARD_WAIT: Duration = Duration::from_millis(100);
-/// A request that has waited for so long until it was read is refused: a client waits 400 ms for its answer, and reading,
-/// deciding and writing come yet.
+/// A client waits so long for its answer.
+const CLIENT_WAIT: Duration = Duration::from_millis(400);
+/// A request that has waited for so long until it was read is refused: reading, deciding and writing its answer
+/// come yet.
 const LATE: Duration = Duration::from_millis(200);
 /// What is refused for want of time may come again after this, if the settings allow that to be said: what was too much
 /// has been worked off or refused by then.
@@ -80,6 +82,7 @@
     let mut stage = desk.stage.clone();
     let mut ticket = Ticket::new(&Turnstile::new(ACCEPTED_IN_A_TURN));
     let mut queue = 0;
+    let mut empty_at = Instant::now();
     loop {
         let wanted = backlog(desk.strain.mean_turn());
         if queue / 2 >= wanted || wanted >= 2 * queue || (wanted == BACKLOG && queue != wanted) {
@@ -90,23 +93,32 @@
         }
         let accept = async {
             poll_fn(|cx| ticket.poll_pass(cx)).await;
-            let (stream, _) = listener.accept().await.ok()?;
-            Some((places.enter().await?, stream))
+            let mut queued = true;
+            let accepted = poll_fn(|cx| {
+                let accepted = listener.poll_accept(cx);
+                queued &= accepted.is_ready();
+                accepted
+            });
+            let (stream, _) = accepted.await.ok()?;
+            if !queued {
+                empty_at = Instant::now();
+            }
+            Some((places.enter().await?, stream, empty_at.elapsed().min(CLIENT_WAIT)))
         };
         let accepted = tokio::select! {
             accepted = accept => accepted,
             _ = stage.wait_for(|s| !s.accepts()) => return,
         };
         match accepted {
-            Some((_, stream)) if desk.strain.is_on() && has_hung_up(&stream) => {
+            Some((_, stream, _)) if desk.strain.is_on() && has_hung_up(&stream) => {
                 // Not beside the loop: what holds no place would hold descriptors without bound.
                 turn_away(stream).await;
             }
-            Some((place, stream)) => {
+            Some((place, stream, queued)) => {
                 let desk = desk.clone();
                 tokio::spawn(async move {
                     if stream.set_nodelay(true).is_ok() {
-                        connection(stream, desk, place).await;
+                        connection(stream, desk, place, queued).await;
                     }
                 });
             }
@@ -173,7 +185,9 @@
     receipt: Option<Receipt>,
     /// The same of an answer that was written to a client that may have gone.
     doubtful: Option<Receipt>,
-    /// It has waited to be read for too long to be served in time.
+    /// It may have waited for so long until it was read, in all.
+    waited: Duration,
+    /// That was too long to be served in time.
     late: bool,
     /// And its client has hung up meanwhile.
     gone: bool,
@@ -186,6 +200,8 @@
 struct Admitted {
     line: Line,
     ticket: Ticket,
+    /// Its first request may have waited for so long until the connection was accepted.
+    queued: Duration,
 }
 
 impl Line {
@@ -201,10 +217,11 @@
             return Poll::Ready(Ok(()));
         }
         ready!(client.poll_readable(cx))?;
-        let late = ready!(self.ticket.poll_pass(cx)) >= LATE;
+        let waited = ready!(self.ticket.poll_pass(cx));
         let mut progress = self.line.progress();
-        progress.late = late;
-        if late && client.has_hung_up() {
+        progress.late = waited >= LATE;
+        progress.waited = waited + std::mem::take(&mut self.queued);
+        if progress.late && client.has_hung_up() {
             progress.gone = true;
             return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
         }
@@ -232,10 +249,11 @@
 
 async fn connection(
     stream: impl Client, desk: Arc<Desk>, (place, mut closed): (Place, oneshot::Receiver<()>),
+    queued: Duration,
 ) {
     let mut stage = desk.stage.clone();
     let (place, line) = (&place, Line::default());
-    let tap = Admitted { line: line.clone(), ticket: Ticket::new(&desk.stile) };
+    let tap = Admitted { line: line.clone(), ticket: Ticket::new(&desk.stile), queued };
     let service = service_fn(|request| {
         let (desk, line) = (desk.clone(), line.clone());
         Box::pin(async move { Ok::<_, Infallible>(answer(request, &desk, place, &line).await) })
@@ -324,7 +342,8 @@
 async fn hand_in(
     request: Request<Incoming>, desk: &Desk, place: &Place, line: &Line,
 ) -> Result<Response<Full<Bytes>>, StatusCode> {
-    let message = read(request, desk).await?;
+    let waited = line.progress().waited;
+    let message = read(request, desk, waited).await?;
     place.settle();
     if line.progress().late {
         desk.inputs.send(Input::TurnedAway { class: message.class });
@@ -344,10 +363,10 @@
     }
 }
 
-async fn read(request: Request<Incoming>, desk: &Desk) -> Result<Message, StatusCode> {
+async fn read(request: Request<Incoming>, desk: &Desk, waited: Duration) -> Result<Message, StatusCode> {
     const BAD: StatusCode = StatusCode::BAD_REQUEST;
-    // The client's time runs since it sent: what the body takes to come counts.
-    let now = desk.clock.now();
+    // The client's time runs since it sent: what the body takes to come counts, and what the request waited to be read.
+    let sent = desk.clock.now().saturating_sub((waited + desk.strain.mean_turn()).as_micros() as Micros);
     let path = request.uri().path().strip_prefix('/').unwrap_or_default();
     let (class_name, key) = path.split_once('/').unwrap_or((path, ""));
     let known = desk.settings.class_names.iter().position(|n| n == class_name);
@@ -386,7 +405,7 @@
         Err(e) if e.is::<http_body_util::LengthLimitError>() => return Err(StatusCode::PAYLOAD_TOO_LARGE),
         Err(_) => return Err(BAD),
     };
-    let expires = now.checked_add(left).ok_or(BAD)?;
+    let expires = sent.checked_add(left).ok_or(BAD)?;
     Ok(Message { id, class, destination, key, idempotency_key, retry, expires, body })
 }
 
--- a/src/bin/foldtrack/clients_tests.rs
+++ b/src/bin/foldtrack/clients_tests.rs
@@ -7,7 +7,6 @@
 use tokio::io::{duplex, AsyncReadExt, AsyncWriteExt, DuplexStream};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::task::yield_now;
-use tokio::time::Instant;
 
 const OWED: Duration = Duration::from_secs(3);
 const LETTER: &[u8] = b"POST /note HTTP/1.1\r\nHost: x\r\nX-Request-Id: m\r\nX-Deadline: 9000m\r\n\
@@ -72,7 +71,7 @@
     let (inputs, receiver) = node::channel();
     let place = places.enter().await.expect("a place");
     let desk = desk(seen, inputs);
-    tokio::spawn(connection(ours, desk, place));
+    tokio::spawn(connection(ours, desk, place, Duration::ZERO));
     (peer, stage, receiver)
 }
 
@@ -118,6 +117,25 @@
     assert!(late + took < OWED, "answered and closed after {:?}", late + took);
 }
 
+/// scrape+rate+leave with little processor time: a message ended, and its notice came, by as much too late as its request
+/// had waited in queues.
+#[tokio::test(start_paused = true)]
+async fn a_messages_time_counts_from_before_its_wait_to_be_read() {
+    let (mut client, ours) = duplex(1024);
+    let (_stage, seen) = watch::channel(Stage::Serving);
+    let (inputs, mut receiver) = node::channel();
+    let (desk, place) = (desk(seen, inputs), Places::new(1).enter().await.expect("a place"));
+    let now = desk.clock.now();
+    tokio::spawn(connection(ours, desk, place, Duration::from_millis(300)));
+    for queued in [300_000, 0] {
+        client.write_all(LETTER).await.unwrap();
+        let Some(Input::HandIn { message, reply }) = receiver.recv().await else { panic!("not handed in") };
+        assert_eq!(message.expires, now - queued + 9_000_000, "only the first was queued");
+        drop(reply);
+        client.read_exact(&mut [0; 12]).await.expect("an answer");
+    }
+}
+
 /// Found on r3546: silent peers held every place, and clients were accepted late or not at all.
 #[tokio::test(start_paused = true)]
 async fn silent_peers_make_room_but_a_client_that_has_handed_in_does_not() {
--- a/src/bin/foldtrack/turnstile.rs
+++ b/src/bin/foldtrack/turnstile.rs
@@ -147,6 +147,19 @@
         assert_eq!(turns, [[0, 1], [2, 7], [3, 6], [4, 5]]);
     }
 
+    #[tokio::test(start_paused = true)]
+    async fn a_pass_tells_how_long_it_took() {
+        let stile = Turnstile::new(1);
+        let (mut first, mut second) = (Ticket::new(&stile), Ticket::new(&stile));
+        let mut cx = Context::from_waker(std::task::Waker::noop());
+        assert_eq!(first.poll_pass(&mut cx), Poll::Ready(Duration::ZERO));
+        assert!(second.poll_pass(&mut cx).is_pending());
+        let late = Duration::from_millis(150);
+        tokio::time::advance(late).await;
+        yield_now().await;
+        assert_eq!(second.poll_pass(&mut cx), Poll::Ready(late));
+    }
+
     #[tokio::test]
     async fn one_that_ends_while_it_waits_takes_no_room_and_a_quiet_turnstile_stands_still() {
         let stile = Turnstile::new(1);
