End messages earlier by how late the loop comes

The module ends a message 10 ms before its time, by a timer that came up to 208 ms late, or when a call that was given until the message's time is told to have timed out, later still; and its notice counts until 300 ms after that time.

Now the node tells the module how late it comes (Event::Late: the longest turn of the runtime in the last second or two), and the module takes a message's time for over by that much earlier, for its ends and for calls that no resend is planned for. A request counts as sent earlier by as much.

Tests: ends with and without lateness, with and without a call out, and no busy wait for the call; the lag is the longest turn of late.

--- a/src/bin/foldtrack/clients.rs
+++ b/src/bin/foldtrack/clients.rs
@@ -366,7 +366,7 @@
 async fn read(request: Request<Incoming>, desk: &Desk, waited: Duration) -> Result<Message, StatusCode> {
     const BAD: StatusCode = StatusCode::BAD_REQUEST;
     // The client's time runs since it sent: what the body takes to come counts, and what the request waited to be read.
-    let sent = desk.clock.now().saturating_sub((waited + desk.strain.mean_turn()).as_micros() as Micros);
+    let sent = desk.clock.now().saturating_sub((waited + desk.strain.lag()).as_micros() as Micros);
     let path = request.uri().path().strip_prefix('/').unwrap_or_default();
     let (class_name, key) = path.split_once('/').unwrap_or((path, ""));
     let known = desk.settings.class_names.iter().position(|n| n == class_name);
--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -368,6 +368,7 @@
     /// Takes in all that has happened, lets the module decide once, and carries out what it says.
     fn round(&mut self, batch: &mut Vec<Input>) {
         let begun = self.clock.now();
+        self.handle(Event::Late { by: self.strain.lag().as_micros() as Micros });
         for input in batch.drain(..) {
             self.take_in(input);
         }
@@ -397,7 +398,7 @@
                 calls: self.calls.len(),
                 idle: self.idle.count(),
                 notices: self.notices.len(),
-                longest_turn: self.strain.longest_turn(),
+                lag: self.strain.lag(),
             });
             line.into_iter().for_each(|line| eprintln!("{line}"));
         }
--- a/src/bin/foldtrack/strain.rs
+++ b/src/bin/foldtrack/strain.rs
@@ -17,13 +17,26 @@
     until: Option<Instant>,
     /// When the turn that is being measured began.
     turn: Option<Instant>,
-    longest_turn: Duration,
+    /// The longest turn since then, and of about [`HOLDS`] before.
+    since: Option<Instant>,
+    longest: Duration,
+    longest_before: Duration,
     /// The mean turn over about the last [`HOLDS`], and when it was that.
     mean_turn: f64,
     mean_at: Option<Instant>,
 }
 
 impl State {
+    fn rotate(&mut self) {
+        let now = Instant::now();
+        let since = *self.since.get_or_insert(now);
+        if now - since >= HOLDS {
+            let recent = now - since < 2 * HOLDS;
+            self.longest_before = if recent { self.longest } else { Duration::ZERO };
+            (self.since, self.longest) = (Some(now), Duration::ZERO);
+        }
+    }
+
     /// Each turn counts by the time that it took, and time without turns is time with none that was late.
     fn weigh(&mut self, took: Duration) {
         let now = Instant::now();
@@ -77,7 +90,8 @@
         let took = {
             let mut state = self.state();
             let took = state.turn.take().map_or(Duration::ZERO, |begun| begun.elapsed());
-            state.longest_turn = state.longest_turn.max(took);
+            state.rotate();
+            state.longest = state.longest.max(took);
             state.weigh(took);
             took
         };
@@ -91,9 +105,11 @@
         Duration::from_secs_f64(state.mean_turn)
     }
 
-    /// The longest turn since this was last asked.
-    pub fn longest_turn(&self) -> Duration {
-        std::mem::take(&mut self.state().longest_turn)
+    /// The longest turn of the last one or two [`HOLDS`]: what is decided now may be carried out so late.
+    pub fn lag(&self) -> Duration {
+        let mut state = self.state();
+        state.rotate();
+        state.longest.max(state.longest_before)
     }
 }
 
@@ -124,6 +140,21 @@
         assert!(!strain.is_on());
     }
 
+    #[tokio::test(start_paused = true)]
+    async fn the_lag_is_the_longest_turn_of_late() {
+        let strain = Strain::default();
+        for took in [30, 90, 10] {
+            strain.state().turn = Some(Instant::now());
+            tokio::time::advance(Duration::from_millis(took)).await;
+            strain.turn_ended();
+        }
+        assert_eq!(strain.lag(), Duration::from_millis(90));
+        tokio::time::advance(HOLDS).await;
+        assert_eq!(strain.lag(), Duration::from_millis(90));
+        tokio::time::advance(2 * HOLDS).await;
+        assert_eq!(strain.lag(), Duration::ZERO);
+    }
+
     /// One late turn is soon forgotten, many are not.
     #[tokio::test(start_paused = true)]
     async fn the_mean_turn_is_that_of_about_the_last_second() {
--- a/src/bin/foldtrack/tally.rs
+++ b/src/bin/foldtrack/tally.rs
@@ -41,7 +41,7 @@
     pub calls: usize,
     pub idle: usize,
     pub notices: usize,
-    pub longest_turn: Duration,
+    pub lag: Duration,
 }
 
 const NAMES: [&str; 8] =
@@ -108,7 +108,7 @@
         let _ = write!(
             text,
             " cut short {}, dialled {}, stale {} (idle for {:?} or more, sound to {:?}); held {} waiting {} calls out {} \
-             idle connections {} notices {}; longest round {} us, turn {} us",
+             idle connections {} notices {}; longest round {} us, turn of the last second {} us",
             t.cut_short,
             t.dialled,
             t.stale,
@@ -120,7 +120,7 @@
             s.idle,
             s.notices,
             t.longest_round,
-            s.longest_turn.as_micros()
+            s.lag.as_micros()
         );
         Some(text)
     }
@@ -132,8 +132,7 @@
 
     #[test]
     fn a_line_tells_what_happened_since_the_last_and_a_quiet_span_has_none() {
-        let quiet =
-            Standing { held: 0, waiting: 0, calls: 0, idle: 3, notices: 0, longest_turn: Duration::ZERO };
+        let quiet = Standing { held: 0, waiting: 0, calls: 0, idle: 3, notices: 0, lag: Duration::ZERO };
         let mut tally = Tally { taken: 2, ..Tally::default() };
         tally.ended(Outcome::Reset, Duration::from_millis(30), None);
         tally.ended(Outcome::Reset, Duration::from_millis(5), Some(Duration::from_millis(700)));
@@ -157,8 +156,7 @@
             (0..50).filter_map(|_| tally.undelivered("m1", Notice::GivenUp, 2, 3_000)).collect();
         assert_eq!(lines.len(), UNDELIVERED_LINES as usize);
         assert_eq!(lines[0], "message m1: given up after 2 attempts, 3000 us before its time");
-        let quiet =
-            Standing { held: 0, waiting: 0, calls: 0, idle: 0, notices: 0, longest_turn: Duration::ZERO };
+        let quiet = Standing { held: 0, waiting: 0, calls: 0, idle: 0, notices: 0, lag: Duration::ZERO };
         let line = tally.line(&quiet);
         assert!(line.is_some_and(|l| l.contains("given up 50")));
         assert!(tally.undelivered("m2", Notice::HandedBack { retry_in_ms: 0 }, 0, 0).is_some());
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -168,6 +168,8 @@
 pub struct Brain {
     #[serde(skip)] pub(crate) s: Settings,
     #[serde(skip)] pub(crate) out: Vec<Action>,
+    /// How late what is decided may be carried out: a message's time is over so much earlier.
+    #[serde(skip)] late: Micros,
     pub(crate) now: Micros, seed: u64,
     messages: BTreeMap<MessageId, Message>, turns: BTreeMap<u64, Turns>, pub(crate) lanes: Vec<Lane>,
     destinations: BTreeMap<DestinationId, Destination>, pub(crate) targets: BTreeMap<TargetId, Target>,
@@ -205,6 +207,7 @@
                     Message { class, destination, order_key, expires, attempts, ran, ..Message::default() };
                 self.restored(id, m)
             }
+            Event::Late { by } => self.late = by,
             Event::Stopping { by } => self.stopping = Some(by),
             Event::ByHand { target, out } => self.by_hand(target, out),
             Event::Started { id, .. } | Event::Lapsed { id } => self.finish(id),
@@ -361,6 +364,11 @@
         expires.saturating_sub(2 * self.s.tick)
     }
 
+    /// Whether its time is over by the time that an end decided now is carried out.
+    fn is_due(&self, m: &Message) -> bool {
+        self.give_up_at(m.expires) <= self.now + self.late
+    }
+
     /// The one place that says what may follow for a message, from its class and its attempts' outcomes:
     /// whether it may be sent, the zone (plus one) that binds it, and whether it may be refused.
     fn allowed(&self, m: &Message) -> (bool, u32, bool) {
@@ -492,7 +500,7 @@
         if ended || m.over || outcome == Outcome::Ok {
             self.finish(id);
         } else if m.attempts.iter().all(|a| a.done.is_some()) {
-            if self.allowed(m).0 && self.now < self.give_up_at(m.expires) {
+            if self.allowed(m).0 && !self.is_due(m) {
                 if outcome == Outcome::NotSent {
                     // What kept it back may last: at once again and again would use up its attempts.
                     let pause = self.s.tick << m.attempts.len().min(8);
@@ -850,9 +858,10 @@
         };
         let last = m.attempts.len() + 1 >= self.s.max_attempts as usize;
         // The lesser of τ and the time left; the time left where no resend may follow.
+        let end = m.expires.saturating_sub(self.late).max(self.now);
         let planned =
-            again && !last && l.times.tau > 0.0 && (l.budget > 0.0 || trial) && self.now + tau < m.expires;
-        let until = if planned { self.now + tau } else { m.expires };
+            again && !last && l.times.tau > 0.0 && (l.budget > 0.0 || trial) && self.now + tau < end;
+        let until = if planned { self.now + tau } else { end };
         m.ran.get_or_insert((self.now, zone));
         if let Some(c) = l.calls.get_mut(&call) {
             c.messages.push((id, m.attempts.len() as u32));
@@ -883,13 +892,17 @@
     /// Chooses what is sent now. Call it once after the last event of a moment.
     pub fn decide(&mut self, now: Micros, out: &mut Vec<Action>) {
         self.now = now;
-        while let Some((_, id)) = self.agenda.first().copied().filter(|(at, _)| *at <= now) {
-            self.agenda.pop_first();
+        let soon = self.now + self.late;
+        let in_time = |m: &Message| !self.is_due(m) || m.attempts.iter().any(|a| a.done.is_none());
+        let looks = self.agenda.range(..=(soon, MessageId::MAX));
+        let due = looks.filter(|(at, id)| *at <= now || !self.messages.get(id).is_none_or(in_time));
+        for (at, id) in due.copied().collect::<Vec<_>>() {
+            (at <= now).then(|| self.agenda.remove(&(at, id)));
             let Some(m) = self.messages.get(&id) else { continue };
-            match self.give_up_at(m.expires) > now {
-                true => self.enqueue(id),
-                false if m.attempts.iter().all(|a| a.done.is_some()) => self.give_up(id),
-                false => {}
+            match self.is_due(m) {
+                false => self.enqueue(id),
+                true if m.attempts.iter().all(|a| a.done.is_some()) => self.give_up(id),
+                true => {}
             }
         }
         self.wake_at = Micros::MAX;
@@ -916,7 +929,9 @@
             }
         }
         self.blocked = !best.is_empty();
-        let next = self.agenda.first().map_or(Micros::MAX, |a| a.0);
+        // Those whose calls are out yet wait for these, or for their own time.
+        let ahead = self.agenda.range((soon + 1, 0)..).next().map(|a| a.0 - self.late);
+        let next = self.agenda.first().map(|a| a.0).into_iter().chain(ahead).min().unwrap_or(Micros::MAX);
         let at = self.upkeep_at.min(self.wake_at).min(next);
         if at < self.armed {
             self.armed = at;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -280,6 +280,11 @@
         /// Out, until the call that puts it back.
         out: bool,
     },
+    /// What is decided is carried out late, and what happens is told late: ends are decided so much earlier.
+    Late {
+        /// By so much; 0 where it is in time.
+        by: Micros,
+    },
     /// The process is to end: calls that are out then are cut off.
     Stopping {
         /// The time of its end.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -296,6 +296,33 @@
     field.kept();
 }
 
+/// scrape+rate+leave with little processor time: an end that was decided at a message's time came 200 ms after it.
+#[test]
+fn where_the_host_is_late_messages_end_so_much_before_their_time() {
+    const LATE: u64 = 200 * MS;
+    for (calls, by) in [(false, 0), (false, LATE), (true, 0), (true, LATE)] {
+        let short = Class { deadline: S, ..class(Effect::Repeatable) };
+        let one_attempt = Settings { max_attempts: 1, ..settings(vec![short]) };
+        let mut field = Field::new(one_attempt, vec![endpoint(1, 1)]);
+        if !calls {
+            // Nothing can go there.
+            field.list(ListKind::Full, Vec::new());
+        }
+        field.feed(Event::Late { by });
+        let id = field.request(0, 1, 0);
+        let expires = field.mail[&id].expires;
+        let before = field.trace.len();
+        field.run(2 * S, silent);
+        assert_eq!(!field.mail[&id].sent.is_empty(), calls);
+        let left = expires as i64 - field.mail[&id].over.expect("an end") as i64;
+        let (by, tick) = (by as i64, field.settings.tick as i64);
+        assert!((by - tick..=by + 2 * tick).contains(&left), "{left} us before its time, {by} us late");
+        let timers = field.trace[before..].iter().filter(|(_, a)| matches!(a, Action::Timer { .. }));
+        assert!(timers.count() < 100, "no busy wait for the call");
+        field.kept();
+    }
+}
+
 /// A call that the end of the process cuts off may have run, which ends an unsafe message.
 #[test]
 fn no_call_is_started_that_the_end_of_the_process_would_cut_off() {
