Let a 202 that has left whole bind, wherever its client goes then

Confirmed from the list of suspects, by a test on real sockets: a client that ends its sending side, reads "HTTP/1.1 202" and closes over the rest (a reset) has heard, and its message was withdrawn; no call was made in 30 s. At fault: clients::flushed and has_heard, which took the reset within 100 ms for a client that had gone before.

Now written whole binds and a failed write does not, with nothing between; what is sent for a client that gave up counts for nothing.

--- a/src/bin/foldtrack/clients.rs
+++ b/src/bin/foldtrack/clients.rs
@@ -25,7 +25,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch};
 use tokio::time::{sleep, timeout, Instant};
@@ -40,8 +40,6 @@
 const HEAD_WAIT: Duration = Duration::from_millis(2200);
 /// A client that does not finish its request within this span has gone: it waits 400 ms for its answer.
 const BODY_WAIT: Duration = Duration::from_millis(500);
-/// Where a client has gone, what is written to it is turned away within this span: the way there and back.
-const HEARD_WAIT: Duration = Duration::from_millis(100);
 /// A client waits so long for its answer.
 const CLIENT_WAIT: Duration = Duration::from_millis(400);
 /// A request that has waited for so long until it was read is refused: reading, deciding and writing its answer
@@ -147,12 +145,8 @@
 trait Client: AsyncRead + AsyncWrite + Unpin {
     /// There is something to read, or the client has ended its sending.
     fn poll_readable(&self, cx: &mut Context) -> Poll<io::Result<()>>;
-    /// The same as [`Client::has_ended`], whatever is unread yet.
+    /// The client has ended its sending side, or has gone, though what it sent may be unread yet.
     fn has_hung_up(&self) -> bool;
-    /// The client has ended its sending side, or has gone.
-    fn has_ended(&self, cx: &mut Context) -> bool;
-    /// What was written has been turned away: the client has gone.
-    fn is_broken(&self) -> bool;
 }
 
 impl Client for TcpStream {
@@ -163,15 +157,6 @@
     fn has_hung_up(&self) -> bool {
         has_hung_up(self)
     }
-
-    fn has_ended(&self, cx: &mut Context) -> bool {
-        let mut next = [0];
-        matches!(self.poll_peek(cx, &mut ReadBuf::new(&mut next)), Poll::Ready(Ok(0) | Err(_)))
-    }
-
-    fn is_broken(&self) -> bool {
-        !matches!(self.take_error(), Ok(None))
-    }
 }
 
 /// How far a connection is with its present request.
@@ -183,8 +168,6 @@
     answered: bool,
     /// What tells whether that answer was written, if it takes a message on.
     receipt: Option<Receipt>,
-    /// The same of an answer that was written to a client that may have gone.
-    doubtful: Option<Receipt>,
     /// It may have waited for so long until it was read, in all.
     waited: Duration,
     /// That was too long to be served in time.
@@ -232,18 +215,16 @@
         self.line.progress().begun |= !bytes.is_empty();
     }
 
-    fn flushed(&mut self, client: &S, cx: &mut Context) {
+    fn flushed(&mut self, _: &S, _: &mut Context) {
         let mut progress = self.line.progress();
         if !progress.answered {
             return;
         }
-        let receipt = progress.receipt.take();
-        *progress = Progress::default();
-        match receipt {
-            Some(receipt) if client.has_ended(cx) => progress.doubtful = Some(receipt),
-            Some(mut receipt) => receipt.written = true,
-            None => {}
+        // What has left whole binds, wherever the client goes from then on: it may have heard.
+        if let Some(mut receipt) = progress.receipt.take() {
+            receipt.written = true;
         }
+        *progress = Progress::default();
     }
 }
 
@@ -267,11 +248,11 @@
         .serve_connection(TokioIo::new(Tapped { stream, tap }), service);
     let (mut newcomer, mut closing) = (true, false);
     // A request that has come is read before the connection is told to close: it would be cut off unanswered.
-    let served = loop {
+    loop {
         tokio::select! {
             biased;
             // Errors are the client's: it has gone, or does not speak HTTP.
-            served = poll_fn(|cx| serving.poll_without_shutdown(cx)) => break served,
+            _ = poll_fn(|cx| serving.poll_without_shutdown(cx)) => break,
             told = &mut closed, if newcomer => {
                 newcomer = false;
                 if told.is_ok() && !place.pass_on() {
@@ -286,26 +267,15 @@
                 }
             }
         }
-    };
-    let mut client = serving.into_parts().io.into_inner().stream;
+    }
+    let client = serving.into_parts().io.into_inner().stream;
     // An answer that was not written takes nothing on: its receipt goes with the rest.
-    let Progress { doubtful, gone, .. } = std::mem::take(&mut *line.progress());
+    let Progress { gone, .. } = std::mem::take(&mut *line.progress());
     if gone {
-        return turn_away(client).await;
-    }
-    if let Some(mut receipt) = doubtful.filter(|_| served.is_ok()) {
-        receipt.written = has_heard(&mut client).await;
-    }
-    streams::close(client).await;
-}
-
-/// Whether a client that had ended its sending side was there yet to have what was written to it.
-async fn has_heard(client: &mut impl Client) -> bool {
-    if client.shutdown().await.is_err() || client.is_broken() {
-        return false;
+        turn_away(client).await;
+    } else {
+        streams::close(client).await;
     }
-    sleep(HEARD_WAIT).await;
-    !client.is_broken()
 }
 
 fn plain(status: StatusCode) -> Response<Full<Bytes>> {
