At SIGTERM answer what waits to be accepted and what has begun to come

At fault: clients::serve, which dropped the listener with what was in it, and node::has_ended, which looked at messages, calls and notices only.

--- a/src/bin/foldtrack/clients.rs
+++ b/src/bin/foldtrack/clients.rs
@@ -22,6 +22,7 @@
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::io;
+use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
@@ -48,6 +49,8 @@
 /// What is refused for want of time may come again after this, if the settings allow that to be said: what was too much
 /// has been worked off or refused by then.
 const STRAIN_WAIT: Micros = 1_000_000;
+/// From when connections are to close until they do.
+const CLOSING: Duration = Duration::from_millis(50);
 /// Pause after a connection could not be accepted, for want of descriptors say.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -80,7 +83,7 @@
     let mut stage = desk.stage.clone();
     let mut ticket = Ticket::new(&Turnstile::new(ACCEPTED_IN_A_TURN));
     let mut queue = 0;
-    let mut empty_at = Instant::now();
+    let (mut empty_at, mut draining, mut drained) = (Instant::now(), false, false);
     loop {
         let wanted = backlog(desk.strain.mean_turn());
         if queue / 2 >= wanted || wanted >= 2 * queue || (wanted == BACKLOG && queue != wanted) {
@@ -95,9 +98,13 @@
             let accepted = poll_fn(|cx| {
                 let accepted = listener.poll_accept(cx);
                 queued &= accepted.is_ready();
-                accepted
+                match accepted {
+                    Poll::Pending if draining => Poll::Ready(Err(io::ErrorKind::WouldBlock.into())),
+                    accepted => accepted,
+                }
             });
-            let (stream, _) = accepted.await.ok()?;
+            let (stream, _) =
+                accepted.await.inspect_err(|e| drained = e.kind() == io::ErrorKind::WouldBlock).ok()?;
             if !queued {
                 empty_at = Instant::now();
             }
@@ -105,7 +112,14 @@
         };
         let accepted = tokio::select! {
             accepted = accept => accepted,
-            _ = stage.wait_for(|s| !s.accepts()) => return,
+            _ = stage.wait_for(|s| !s.accepts()), if !draining => {
+                // A successor accepts from the same queue. Else what waits in it would be reset unanswered.
+                if *desk.stage.borrow() == Stage::Succeeded {
+                    return;
+                }
+                draining = true;
+                continue;
+            }
         };
         match accepted {
             Some((_, stream, _)) if desk.strain.is_on() && has_hung_up(&stream) => {
@@ -120,6 +134,7 @@
                     }
                 });
             }
+            None if drained => return,
             None => sleep(ACCEPT_PAUSE).await,
         }
     }
@@ -168,6 +183,8 @@
     answered: bool,
     /// What tells whether that answer was written, if it takes a message on.
     receipt: Option<Receipt>,
+    /// Something has come, and waits to be read.
+    waiting: bool,
     /// It may have waited for so long until it was read, in all.
     waited: Duration,
     /// That was too long to be served in time.
@@ -200,8 +217,10 @@
             return Poll::Ready(Ok(()));
         }
         ready!(client.poll_readable(cx))?;
+        self.line.progress().waiting = true;
         let waited = ready!(self.ticket.poll_pass(cx));
         let mut progress = self.line.progress();
+        progress.waiting = false;
         progress.late = waited >= LATE;
         progress.waited = waited + std::mem::take(&mut self.queued);
         if progress.late && client.has_hung_up() {
@@ -233,6 +252,12 @@
     queued: Duration,
 ) {
     let mut stage = desk.stage.clone();
+    let closes = async {
+        let _ = stage.wait_for(|s| *s == Stage::Closing).await;
+        // What has come to the socket is seen by then.
+        sleep(CLOSING).await;
+    };
+    let mut closes = pin!(closes);
     let (place, line) = (&place, Line::default());
     let tap = Admitted { line: line.clone(), ticket: Ticket::new(&desk.stile), queued };
     let service = service_fn(|request| {
@@ -259,10 +284,11 @@
                     return;
                 }
             }
-            _ = stage.wait_for(|s| *s == Stage::Closing), if !closing => {
+            () = &mut closes, if !closing => {
                 closing = true;
                 // What has begun to come has an answer that closes the connection.
-                if !line.progress().begun {
+                let Progress { begun, waiting, .. } = *line.progress();
+                if !begun && !waiting {
                     Pin::new(&mut serving).graceful_shutdown();
                 }
             }
@@ -270,7 +296,7 @@
     }
     let client = serving.into_parts().io.into_inner().stream;
     // An answer that was not written takes nothing on: its receipt goes with the rest.
-    let Progress { gone, .. } = std::mem::take(&mut *line.progress());
+    let gone = std::mem::take(&mut *line.progress()).gone;
     if gone {
         turn_away(client).await;
     } else {
--- a/src/bin/foldtrack/clients_tests.rs
+++ b/src/bin/foldtrack/clients_tests.rs
@@ -359,3 +359,25 @@
     let of_turns_of = |ms| backlog(Duration::from_millis(ms));
     assert_eq!([0, 50, 100, 3000].map(of_turns_of), [BACKLOG, 8, 4, 1]);
 }
+
+/// The listener's queue is longer than what is accepted by the time that nothing more is.
+#[tokio::test]
+async fn what_waits_to_be_accepted_when_the_process_is_to_end_has_its_answer() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let count = 3 * ACCEPTED_IN_A_TURN;
+    let mut waiting = clients(listener.local_addr().unwrap(), count).await;
+    let (_stage, seen) = watch::channel(Stage::Closing);
+    let (inputs, mut receiver) = node::channel();
+    let serving = tokio::spawn(serve(listener, desk(seen, inputs), Places::new(count)));
+    for client in &mut waiting {
+        take_on(&mut receiver).await;
+        client.readable().await.unwrap();
+    }
+    for client in &mut waiting {
+        let mut answer = String::new();
+        let read = timeout(10 * OWED, client.read_to_string(&mut answer)).await;
+        read.expect("an answer").expect("whole, and an end");
+        assert!(answer.starts_with("HTTP/1.1 202") && answer.contains("connection: close"), "{answer}");
+    }
+    timeout(10 * OWED, serving).await.expect("nothing more is accepted").unwrap();
+}
--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -274,13 +274,13 @@
     let (settings, clock, stage) = (node.settings.clone(), node.clock, node.stage.subscribe());
     let (strain, stile) = (node.strain.clone(), Turnstile::new(clients::READ_IN_A_TURN));
     let desk = Desk { settings, clock, inputs: inputs.clone(), stage, strain, stile };
-    tokio::spawn(clients::serve(listener, Arc::new(desk), node.places.clone()));
+    let accepting = tokio::spawn(clients::serve(listener, Arc::new(desk), node.places.clone()));
     node.accepting = true;
     let meeting = upgrade::await_successor(&meeting, format, inputs);
     if let Err(error) = &meeting {
         eprintln!("upgrade: no successor can take over while this process runs: {error}");
     }
-    while !node.has_ended() {
+    while !node.has_ended(accepting.is_finished()) {
         node.round(&mut batch);
         if let Some(successor) = node.successor.take() {
             match node.hand_over(&successor) {
@@ -822,9 +822,12 @@
         }
     }
 
-    fn has_ended(&self) -> bool {
+    /// Whether the process may end: nothing is left to do, also for clients whose connections are open or have come to a
+    /// listener that accepts no more.
+    fn has_ended(&self, accepted: bool) -> bool {
         let Some(at) = self.terminated else { return false };
         let idle = self.calls.is_empty() && self.messages.is_empty() && self.notices.is_empty();
+        let idle = idle && accepted && self.places.taken() == 0;
         at.elapsed() >= END_BY || idle && at.elapsed() >= 2 * ACCEPT_ON
     }
 
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -481,6 +481,26 @@
     assert!(platform.notices().is_empty());
 }
 
+/// Messages come cut at any byte: one whose first part has come is owed its answer by a process that is to end.
+#[test]
+fn a_request_that_has_begun_to_come_holds_up_the_end_of_the_process() {
+    let (_target, _platform, mut forwarder) = one_target(|_| OK);
+    let mut client = TcpStream::connect(forwarder.listen).unwrap();
+    client.set_read_timeout(Some(PATIENCE)).unwrap();
+    let request = fee("cut").bytes();
+    let (first, rest) = request.split_at(20);
+    client.write_all(first).unwrap();
+    sleep(MS(100));
+    forwarder.signal("TERM");
+    // Else it has nothing to do and ends after 1 s; a head may take 2.2 s.
+    sleep(MS(1_400));
+    client.write_all(rest).unwrap();
+    let mut answer = String::new();
+    client.read_to_string(&mut answer).expect("a whole answer");
+    assert!(answer.starts_with("HTTP/1.1 202"), "{answer}");
+    assert!(forwarder.wait().success());
+}
+
 #[test]
 fn a_torn_tail_is_cut_and_damage_elsewhere_is_passed_over() {
     let (target, _platform, mut forwarder) = one_target(|_| Reply::Silence);
