Set the listener's queue only in strain, and give a successor the whole queue

What each of the 315 did anew at its start was a second listen() on a listener that had just been bound with the same queue.

Now that call is made only when the queue is to change. The queue of a listener that goes to a successor is made whole again: the successor would not know.

--- a/src/bin/foldtrack/clients.rs
+++ b/src/bin/foldtrack/clients.rs
@@ -68,7 +68,7 @@
 /// turn stays well under the 300 ms of a notice also with a hundredth of a core.
 const ACCEPTED_IN_A_TURN: usize = 2;
 pub(crate) const READ_IN_A_TURN: usize = 8;
-/// Connections that wait to be accepted, where time is not short.
+/// Connections that wait to be accepted, where time is not short: as many as the listener is bound with.
 const BACKLOG: u32 = 1024;
 
 /// So many wait to be accepted as are accepted in time to be answered, where a turn takes so long: those that come when
@@ -82,15 +82,13 @@
 pub(crate) async fn serve(listener: TcpListener, desk: Arc<Desk>, places: Places) {
     let mut stage = desk.stage.clone();
     let mut ticket = Ticket::new(&Turnstile::new(ACCEPTED_IN_A_TURN));
-    let mut queue = 0;
+    let mut queue = BACKLOG;
     let (mut empty_at, mut draining, mut drained) = (Instant::now(), false, false);
     loop {
         let wanted = backlog(desk.strain.mean_turn());
         if queue / 2 >= wanted || wanted >= 2 * queue || (wanted == BACKLOG && queue != wanted) {
-            match listen(&listener, wanted as i32) {
-                Ok(()) => queue = wanted,
-                Err(error) => eprintln!("clients: {wanted} may not wait to be accepted: {error}"),
-            }
+            let_wait(&listener, wanted);
+            queue = wanted;
         }
         let accept = async {
             poll_fn(|cx| ticket.poll_pass(cx)).await;
@@ -115,6 +113,9 @@
             _ = stage.wait_for(|s| !s.accepts()), if !draining => {
                 // A successor accepts from the same queue. Else what waits in it would be reset unanswered.
                 if *desk.stage.borrow() == Stage::Succeeded {
+                    if queue < BACKLOG {
+                        let_wait(&listener, BACKLOG);
+                    }
                     return;
                 }
                 draining = true;
@@ -140,6 +141,13 @@
     }
 }
 
+/// So many connections may wait to be accepted from now on.
+fn let_wait(listener: &TcpListener, count: u32) {
+    if let Err(error) = listen(listener, i32::try_from(count).unwrap_or(i32::MAX)) {
+        eprintln!("clients: {count} cannot wait to be accepted: {error}");
+    }
+}
+
 /// Whether a client has ended its sending, though what it sent may be unread yet.
 fn has_hung_up(stream: &TcpStream) -> bool {
     let mut polled = [PollFd::new(stream, PollFlags::RDHUP)];
