Count what an old process turns away for want of time in its figures

By reading: the process that has handed over passed Input::TurnedAway on to nobody, so that its shed count stayed behind what its clients had heard. The test fails without the line.

--- a/src/bin/foldtrack/relay.rs
+++ b/src/bin/foldtrack/relay.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::Clock;
 use crate::door::Ask;
-use crate::figures::Figures;
+use crate::figures::{Ended, Figures};
 use crate::journal::Accepted;
 use crate::message::Message;
 use crate::node::{Answer, Input, Inputs, Receipt, Stage};
@@ -297,6 +297,7 @@
                 let _ = tell.send(FromOld::Answered { number, written });
             }
             Input::Written { class } => self.figures.tried(class),
+            Input::TurnedAway { class } => self.figures.ended(class, Ended::Shed),
             Input::Operator { ask, reply } => {
                 let _ = reply.send(match ask {
                     Ask::Figures => (StatusCode::OK, self.figures.text(0, self.pool)),
@@ -323,3 +324,32 @@
         report: end.report,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::node;
+    use serde_json::json;
+
+    /// What it refuses for want of time its clients have heard from it: it counts there.
+    #[test]
+    fn an_old_process_counts_what_it_turns_away() {
+        let settings = json!({"categories": [{"name": "note", "aim": 1, "deadline": 2}], "limits": {}});
+        let settings: Arc<Parsed> = Arc::new(serde_json::from_value(settings).unwrap());
+        let mut old = Remainder {
+            calls: BTreeMap::new(),
+            figures: Figures::new(&settings.class_names),
+            pool: Pool::default(),
+            inputs: node::channel().0,
+            settings,
+            clock: Clock::new(),
+            stage: watch::Sender::new(Stage::Succeeded),
+            places: Places::new(1),
+            accept_on: Duration::ZERO,
+            end_by: Duration::ZERO,
+        };
+        old.pass_on(Input::TurnedAway { class: 0 }, &mpsc::unbounded_channel().0);
+        let text = old.figures.text(0, old.pool);
+        assert!(text.contains("responses.note.shed=1"), "{text}");
+    }
+}
