--- a/src/bin/foldtrack/relay.rs
+++ b/src/bin/foldtrack/relay.rs
@@ -334,7 +334,8 @@
     /// What it refuses for want of time its clients have heard from it: it counts there.
     #[test]
     fn an_old_process_counts_what_it_turns_away() {
-        let settings = json!({"categories": [{"name": "note", "aim": 1, "deadline": 2}], "limits": {}});
+        let classes = json!([{"name": "note", "aim": 1, "deadline": 2}]);
+        let settings = json!({"balancers": 1, "categories": classes, "limits": {}});
         let settings: Arc<Parsed> = Arc::new(serde_json::from_value(settings).unwrap());
         let mut old = Remainder {
             calls: BTreeMap::new(),
