Give zones that the settings do not name a number of their own

Seen: a list with a zone beyond the settings' names panics a debug build ("attempt to add with overflow", brain.rs fill) at its first call; the release build wraps, and a keyed message whose repeats are bound to its zone may then be repeated in any other. The operators say that there may be more zones than the site names.

At fault: Node::list named each such zone u32::MAX, and Brain::allowed and fill add one for "no zone". Now its number comes from its name, so that it is the same in each process: the log keeps it for the repeat after a restart.

With a test that what bad peers held (bodies of 90 MB broken off, half heads, answers that never end) is free again; it passed as it stood.

--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -457,7 +457,7 @@
         };
         let mut endpoints = Vec::with_capacity(list.servers.len());
         for line in list.servers {
-            let zone = place(&self.settings.zone_names, &line.zone);
+            let zone = self.settings.zone(&line.zone);
             let known = self.target_ids.get(&line.id).copied();
             let target = known.unwrap_or(self.servers.len() as TargetId);
             if let Some(server) = self.servers.get_mut(target as usize) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -110,6 +110,16 @@
     pub rate_at: Option<usize>,
 }
 
+impl Parsed {
+    /// The number of a zone. One that the settings do not name is a zone all the same: its number comes from its name,
+    /// is the same in each process, and lies past all that are named.
+    pub fn zone(&self, name: &str) -> u32 {
+        const UNNAMED: u32 = 1 << 30;
+        let named = self.zone_names.iter().position(|n| n == name);
+        named.map_or_else(|| UNNAMED | crc32fast::hash(name.as_bytes()) >> 2, |at| at as u32)
+    }
+}
+
 impl From<Env> for Parsed {
     fn from(env: Env) -> Self {
         let place = |name: &str| env.report.fields.iter().position(|f| f == name);
--- a/tests/forwarder/crossings.rs
+++ b/tests/forwarder/crossings.rs
@@ -1,6 +1,10 @@
 //! What is still owed at the instant at which something ends: each crossing is forced.
 
 use crate::world::*;
+use crate::{one_target, MS};
+use std::io::Write;
+use std::net::TcpStream;
+use std::thread::sleep;
 
 /// Lines of the list for so many destinations at one server, with a limit of so many calls a second each.
 fn destinations(server: &Server, count: u32, limit: f64) -> Vec<serde_json::Value> {
@@ -44,3 +48,52 @@
 fn what_sigterm_leaves_untried_is_tried() {
     what_is_left_untried_is_tried("TERM");
 }
+
+/// Zones that the settings do not name are zones all the same: a repeat that is bound to one stays there.
+#[test]
+fn a_repeat_stays_in_its_zone_also_where_the_settings_do_not_name_it() {
+    let (first, other) = (Server::start(|_| Reply::Close), Server::start(|_| OK));
+    let zoned = |id: &str, server: &Server, zone: &str| {
+        let mut line = line(id, server.address, 1, "active");
+        line["zone"] = zone.into();
+        line
+    };
+    // Only the first is there when the first attempt is made.
+    let platform = Platform::start(vec![zoned("s-1", &first, "north")]);
+    let forwarder =
+        Forwarder::start_with(&platform, |c| c["settings"]["categories"][0]["group"] = "zone".into());
+    assert_eq!(forwarder.hand_in(&update("m1", "k").within(4_000)), 202);
+    eventually("the first attempt", || !first.seen().is_empty());
+    platform.change(vec![zoned("s-1", &first, "north"), zoned("s-2", &other, "south")]);
+    eventually("its end", || platform.notices().len() == 1);
+    assert!(other.seen().is_empty(), "a repeat went to another zone");
+}
+
+/// Clients that send much and go, and answers that never end, leave no descriptor behind.
+#[test]
+fn what_bad_peers_held_is_free_again() {
+    let (target, platform, mut forwarder) = one_target(|_| OK);
+    let descriptors = |forwarder: &Forwarder| forwarder.descriptors();
+    assert_eq!(forwarder.hand_in(&fee("m0")), 202);
+    eventually("the call", || !target.seen().is_empty());
+    sleep(MS(300));
+    let before = descriptors(&forwarder);
+    target.behave(|_| Reply::Endless);
+    for n in 0..40 {
+        let mut much = TcpStream::connect(forwarder.listen).unwrap();
+        let head = format!(
+            "POST /fee HTTP/1.1\r\nHost: f\r\nX-Request-Id: b{n}\r\nContent-Length: 90000000\r\n\r\n"
+        );
+        let _ = much.write_all(head.as_bytes()).and_then(|()| much.write_all(&vec![b'x'; 1 << 20]));
+        drop(much);
+        let mut half = TcpStream::connect(forwarder.listen).unwrap();
+        half.write_all(&head.as_bytes()[..40]).unwrap();
+        drop(half);
+    }
+    for n in 0..8 {
+        assert_eq!(forwarder.hand_in(&fee(&format!("e{n}")).within(1_500)), 202);
+    }
+    eventually("all calls", || target.seen().len() > 8);
+    eventually("what was held is free", || descriptors(&forwarder) <= before + 1);
+    assert!(forwarder.is_running() && platform.notices().is_empty());
+}
--- a/tests/forwarder/world.rs
+++ b/tests/forwarder/world.rs
@@ -57,6 +57,8 @@
     Later(Duration, u16),
     /// Never answers; keeps the connection open.
     Silence,
+    /// Begins to answer 200, and goes on for as long as it is read.
+    Endless,
     Close,
 }
 
@@ -146,6 +148,13 @@
                     self.closed.fetch_add(1, Ordering::SeqCst);
                     return;
                 }
+                Reply::Endless => {
+                    let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                    while stream.write_all(b"4\r\nmore\r\n").is_ok() {
+                        thread::sleep(Duration::from_millis(1));
+                    }
+                    return;
+                }
                 Reply::Silence => {
                     let _ = reader.read_to_end(&mut Vec::new());
                     return;
@@ -398,6 +407,11 @@
         operate_at(self.admin, method, path)
     }
 
+    /// How many descriptors the process holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
     pub fn connect(&self) -> Kept {
         let stream = TcpStream::connect(self.listen).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
