Open a silent watch anew within 2 s where lists are pushed, 4 s on request, in any fleet

Seen: stand-ins that never answer. Fleets of 1 and 4 asked again after 6.05 s, also after SIGHUP, where what discovery has to tell binds after 6 s, and 4 s after SIGHUP: a drain told meanwhile is broken.

At fault: platform::watch_at waited 5 s and 1 s more in fleets of up to four (FEW), and gave the whole list after SIGHUP the same time though nothing is waited for. The pause between calls that fail grew to 1 s also towards an agent, and what that gets when discovery is back binds at once.

Now one formula: a call waits 1 s, and may be 1 s late where lists are pushed, 3 s where discovery answers the fleet itself; the whole list has the second figure alone. The pause stays under 100 ms towards an agent. A list that brings no newer version and came at once is followed by a pause also where it has lines: an agent that repeats itself was asked without end.

Tests on real sockets: fleets of 1, 4, 5 and 300, pushed and on request; SIGHUP to a silent discovery. Seen to fail before.

--- a/src/bin/foldtrack/platform.rs
+++ b/src/bin/foldtrack/platform.rs
@@ -22,17 +22,19 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout, Instant};
 
-/// How long a watch may stay without news, and how much later its answer may come.
-const WATCH: Duration = Duration::from_secs(5);
-const WATCH_LATE: Duration = Duration::from_secs(1);
-/// Pauses after a failure: doubled each time, from the first to the longest.
+/// How long a watch may stay without news. A call that waits takes a place at discovery, and may queue for one; the next
+/// follows at once, or it would count as a new watch, which costs discovery more.
+const WATCH: Duration = Duration::from_secs(1);
+/// How much later than that an answer may come, or than at once where nothing is waited for. What a silent watch misses
+/// binds 6 s after it fell silent, and 4 s after SIGHUP: by then another call has to have its answer. Where lists are
+/// pushed the agent has them at hand. Where they are told on request, discovery may have a fleet to answer before.
+const AGENT_LATE: Duration = Duration::from_secs(1);
+const DISCOVERY_LATE: Duration = Duration::from_secs(3);
+/// Pauses after a failure: doubled each time, from the first to the longest. What an agent gets when discovery is back
+/// binds at once, and drains are kept within some hundreds of milliseconds: no pause may take those up.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_AGENT_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
-/// The same in a fleet of more than [`FEW`]: a call that waits takes a place at discovery, and may queue for one. The
-/// next call follows at once, or it would count as a new watch, which costs discovery more.
-const FLEET_WATCH: Duration = Duration::from_secs(1);
-const FLEET_LATE: Duration = Duration::from_secs(3);
-const FEW: u32 = 4;
 /// Discovery serves a whole fleet, and what it turns away costs it nearly as much as what it answers. A call that
 /// was turned away comes again after so long for each forwarder in the fleet.
 const TURNED_AWAY_PAUSE: Duration = Duration::from_millis(125);
@@ -128,15 +130,14 @@
 pub(crate) async fn watch(
     mut discovery: watch::Receiver<SocketAddr>, settings: &Settings, known: &ServerList, inputs: Inputs,
 ) {
-    let senders = settings.senders;
     let mut from = Some(known.version).filter(|_| !known.servers.is_empty());
     if settings.subscribe {
-        sleep((BEGIN_SPREAD * senders).min(LATEST_BEGIN).mul_f64(fastrand::f64())).await;
+        sleep((BEGIN_SPREAD * settings.senders).min(LATEST_BEGIN).mul_f64(fastrand::f64())).await;
     }
     loop {
         let address = *discovery.borrow_and_update();
         tokio::select! {
-            () = watch_at(address, senders, from.take(), inputs.clone()) => return,
+            () = watch_at(address, settings, from.take(), inputs.clone()) => return,
             moved = discovery.changed() => if moved.is_err() { return },
         }
     }
@@ -144,15 +145,18 @@
 
 /// Watches the list at one address, from a version or from the whole list on: another agent's answers need not go on
 /// from the last.
-async fn watch_at(address: SocketAddr, senders: u32, mut version: Option<u64>, inputs: Inputs) {
+async fn watch_at(address: SocketAddr, settings: &Settings, mut version: Option<u64>, inputs: Inputs) {
     let mut connection = None;
     let mut pause = FIRST_PAUSE;
     let mut turned_away = 0;
-    let (wait, late) = if senders > FEW { (FLEET_WATCH, FLEET_LATE) } else { (WATCH, WATCH_LATE) };
+    let (late, longest_pause) = match settings.subscribe {
+        true => (DISCOVERY_LATE, LONGEST_PAUSE),
+        false => (AGENT_LATE, LONGEST_AGENT_PAUSE),
+    };
     loop {
-        let path = match version {
-            Some(v) => format!("/v1/servers?since={v}&timeout_ms={}", wait.as_millis()),
-            None => "/v1/servers".to_string(),
+        let (path, wait) = match version {
+            Some(v) => (format!("/v1/servers?since={v}&timeout_ms={}", WATCH.as_millis()), WATCH),
+            None => ("/v1/servers".to_string(), Duration::ZERO),
         };
         let asked = Instant::now();
         let answer = match get(address, &path) {
@@ -163,14 +167,14 @@
             // Silent, or gone: the list stays as it is, and the watch goes on from its version.
             connection = None;
             sleep(pause).await;
-            pause = (2 * pause).min(LONGEST_PAUSE);
+            pause = (2 * pause).min(longest_pause);
             continue;
         };
         if matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
             // It is there, and has too much to do: calls that come again soon would keep it so.
             turned_away += 1;
             connection = None;
-            let pause = TURNED_AWAY_PAUSE * senders * turned_away.min(2);
+            let pause = TURNED_AWAY_PAUSE * settings.senders * turned_away.min(2);
             sleep(pause.mul_f64(0.5 + fastrand::f64())).await;
             continue;
         }
@@ -179,10 +183,11 @@
             Ok(list) if status == StatusCode::OK => {
                 pause = FIRST_PAUSE;
                 let empty = !list.full && list.servers.is_empty();
-                version = Some(list.version);
+                let news = version.replace(list.version) != Some(list.version);
                 if !empty {
                     inputs.send(Input::List(list));
-                } else if asked.elapsed() < EMPTY_PAUSE {
+                }
+                if !news && asked.elapsed() < EMPTY_PAUSE {
                     sleep(EMPTY_PAUSE).await;
                 }
             }
@@ -194,7 +199,7 @@
                 // Perhaps the version is unknown there: the whole list is asked for.
                 version = None;
                 sleep(pause).await;
-                pause = (2 * pause).min(LONGEST_PAUSE);
+                pause = (2 * pause).min(longest_pause);
             }
         }
     }
--- a/tests/forwarder/crossings.rs
+++ b/tests/forwarder/crossings.rs
@@ -49,6 +49,47 @@
     what_is_left_untried_is_tried("TERM");
 }
 
+/// What a silent watch misses binds 6 s after it fell silent, and 4 s after SIGHUP, in fleets of any size.
+#[test]
+fn a_watch_that_falls_silent_is_opened_anew_in_time() {
+    let target = Server::start(|_| OK);
+    let platforms: Vec<_> = ["pushed", "on_request"]
+        .into_iter()
+        .flat_map(|how| [1, 4, 5, 300].map(|size| (how, size)))
+        .map(|(how, size)| {
+            let platform = Platform::start(vec![line("s-1", target.address, 1, "active")]);
+            platform.server.behave(|_| Reply::Silence);
+            let forwarder = Forwarder::start_with(&platform, |c| {
+                (c["settings"]["balancers"], c["settings"]["discovery"]) = (size.into(), how.into());
+            });
+            (how, size, platform, forwarder)
+        })
+        .collect();
+    for (how, size, platform, _forwarder) in &platforms {
+        eventually("it is asked again", || platform.server.seen().len() > 1);
+        let seen = platform.server.seen();
+        let gap = seen[1].at - seen[0].at;
+        assert!(gap < MS(5_500), "{how}, {size} forwarders: opened anew after {gap:?}");
+    }
+}
+
+#[test]
+fn after_sighup_a_silent_discovery_is_asked_again_in_time() {
+    let target = Server::start(|_| OK);
+    for how in ["pushed", "on_request"] {
+        let platform = Platform::start(vec![line("s-1", target.address, 1, "active")]);
+        let forwarder = Forwarder::start_with(&platform, |c| c["settings"]["discovery"] = how.into());
+        eventually("a watch", || !platform.server.seen().is_empty());
+        let moved = Platform::start(vec![line("s-1", target.address, 1, "active")]);
+        moved.server.behave(|_| Reply::Silence);
+        forwarder.reload(&moved);
+        eventually("it is asked again", || moved.server.seen().len() > 1);
+        let seen = moved.server.seen();
+        let gap = seen[1].at - seen[0].at;
+        assert!(gap < MS(3_700), "{how}: asked again after {gap:?}");
+    }
+}
+
 /// Zones that the settings do not name are zones all the same: a repeat that is bound to one stays there.
 #[test]
 fn a_repeat_stays_in_its_zone_also_where_the_settings_do_not_name_it() {
