Let a call begin in the log once its connection stands, not when it is decided

At fault: Node::start wrote Begun before the connection was opened. Now a call on a kept connection begins there, and one that has to be dialled when the node is asked whether it may still go (Connected). What never began leaves no record of an end either: an Ended would have counted for the attempt before. A call that is called off stays known until its end has come.

A restart no longer counts attempts that never had a connection; no endpoint has seen those. Test seen to fail before.

--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -122,6 +122,7 @@
     /// A call's connection stands: may it be written still?
     Connected {
         number: u64,
+        attempt: u32,
         target: TargetId,
         go: oneshot::Sender<bool>,
     },
@@ -184,6 +185,15 @@
     notice: Notice,
 }
 
+/// A call that is out.
+struct Out {
+    target: TargetId,
+    /// What calls it off, unless it has been.
+    cancel: Option<oneshot::Sender<()>>,
+    /// It stands in the journal: from then on it may have run.
+    begun: bool,
+}
+
 struct Server {
     address: SocketAddr,
     zone: u32,
@@ -207,8 +217,8 @@
     notices: BTreeMap<u64, Ending>,
     unsent: BTreeSet<u64>,
     reports: Reports,
-    /// By message and attempt: where it went, and what calls it off.
-    calls: BTreeMap<(u64, u32), (TargetId, oneshot::Sender<()>)>,
+    /// By message and attempt.
+    calls: BTreeMap<(u64, u32), Out>,
     idle: IdleConnections,
     swept: Instant,
     tally: Tally,
@@ -426,8 +436,9 @@
                 self.list(list, kind);
             }
             Input::Reported { numbers } => self.reported(numbers),
-            Input::Connected { number, target, go } => {
-                let _ = go.send(self.brain.may_go(self.clock.now(), number, target));
+            Input::Connected { number, attempt, target, go } => {
+                let may_go = self.brain.may_go(self.clock.now(), number, target);
+                let _ = go.send(may_go && self.begin(number, attempt));
             }
             Input::Written { class } => self.figures.tried(class),
             // One that nobody awaits any more has been answered no.
@@ -636,9 +647,9 @@
                 self.send(id);
             }
             Action::Cancel { id, attempt } => {
-                if let Some((_, cancel)) = self.calls.remove(&(id, attempt)) {
+                if let Some(out) = self.calls.get_mut(&(id, attempt)) {
                     // A call that has just ended tells its own end.
-                    let _ = cancel.send(());
+                    let _ = out.cancel.take().map(|cancel| cancel.send(()));
                 } else if let Some(Waiting { target, .. }) =
                     self.messages.get_mut(&id).and_then(|h| h.waiting.take())
                 {
@@ -690,20 +701,31 @@
         }
     }
 
-    /// Starts a call; its record stands in the journal before its first byte goes out.
+    /// Notes in the journal, before its first byte goes out, that a call may run from now on.
+    fn begin(&mut self, number: u64, attempt: u32) -> bool {
+        let Some(out) = self.calls.get_mut(&(number, attempt)) else { return false };
+        let zone = self.servers[out.target as usize].zone;
+        let begun = Record::Begun { at: self.clock.unix(self.clock.now()), zone };
+        match self.journal.append(number, &begun) {
+            Ok(()) => out.begun = true,
+            Err(error) => eprintln!("journal: a call is not made: {error}"),
+        }
+        out.begun
+    }
+
+    /// Starts a call. Where its connection has to come up yet, it begins only then.
     fn start(&mut self, number: u64, attempt: u32, target: TargetId, until: Micros) {
         let Some(held) = self.messages.get(&number) else { return };
         let message = held.message.clone();
-        let Server { address, zone, era } = self.servers[target as usize];
-        let begun = Record::Begun { at: self.clock.unix(self.clock.now()), zone };
-        if let Err(error) = self.journal.append(number, &begun) {
-            eprintln!("journal: a call is not made: {error}");
+        let Server { address, era, .. } = self.servers[target as usize];
+        let (cancel, cancelled) = oneshot::channel();
+        self.calls.insert((number, attempt), Out { target, cancel: Some(cancel), begun: false });
+        let connection = self.idle.take(target);
+        if connection.is_some() && !self.begin(number, attempt) {
+            self.calls.remove(&(number, attempt));
             return self.outcome(number, attempt, target, Outcome::NotSent, false);
         }
-        let connection = self.idle.take(target);
         self.tally.dialled += u32::from(connection.is_none());
-        let (cancel, cancelled) = oneshot::channel();
-        self.calls.insert((number, attempt), (target, cancel));
         let call = Call {
             number,
             attempt,
@@ -724,7 +746,7 @@
     }
 
     fn call_ended(&mut self, end: CallEnd) {
-        self.calls.remove(&(end.number, end.attempt));
+        let begun = self.calls.remove(&(end.number, end.attempt)).is_some_and(|out| out.begun);
         self.tally.ended(end.outcome, end.begun.elapsed(), end.idle_for);
         self.tally.cut_short += u32::from(end.cut_short);
         let same_era = self.servers[end.target as usize].era == end.era;
@@ -738,7 +760,7 @@
                 self.figures.ended(held.message.class, if delivered { Ended::Ok } else { Ended::Error });
                 self.record(end.number, &Record::Over);
             }
-        } else if held {
+        } else if held && begun {
             let never = matches!(end.outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent);
             let fate = if never { Fate::NeverRan } else { Fate::MayHaveRun };
             self.record(end.number, &Record::Ended(fate));
--- a/src/bin/foldtrack/node/succession.rs
+++ b/src/bin/foldtrack/node/succession.rs
@@ -1,6 +1,6 @@
 //! The node's part of an upgrade: what it passes on as the owner, and how it goes on where another one stopped.
 
-use super::{Held, Node, Server, Stage, Taken, Waiting, ACCEPT_ON, END_BY};
+use super::{Held, Node, Out, Server, Stage, Taken, Waiting, ACCEPT_ON, END_BY};
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::journal::Restored;
@@ -68,9 +68,9 @@
         for (number, message) in restored {
             self.restore(number, message);
         }
-        let left = |(number, attempt, target): (u64, u32, TargetId)| {
+        let left = |(number, attempt, target, begun): (u64, u32, TargetId, bool)| {
             let (cancel, cancelled) = oneshot::channel();
-            self.calls.insert((number, attempt), (target, cancel));
+            self.calls.insert((number, attempt), Out { target, cancel: Some(cancel), begun });
             (number, attempt, target, cancelled)
         };
         (estate.calls.into_iter().map(left).collect(), answering)
@@ -99,7 +99,11 @@
             brain: self.brain.hand_over().map_err(io::Error::other)?,
             next_number: self.next_number,
             messages: self.messages.iter().map(held).collect(),
-            calls: self.calls.iter().map(|((number, attempt), call)| (*number, *attempt, call.0)).collect(),
+            calls: self
+                .calls
+                .iter()
+                .map(|((number, attempt), out)| (*number, *attempt, out.target, out.begun))
+                .collect(),
             servers: servers.into_values().collect(),
             timers: self.timers.iter().copied().collect(),
             clients: self.places.taken(),
@@ -111,7 +115,7 @@
     pub(super) fn into_remainder(self) -> Remainder {
         self.stage.send_replace(Stage::Succeeded);
         Remainder {
-            calls: self.calls.into_iter().map(|(call, (_, cancel))| (call, cancel)).collect(),
+            calls: self.calls.into_iter().map(|(call, out)| (call, out.cancel)).collect(),
             figures: self.figures,
             pool: self.brain.pool(),
             inputs: self.inputs,
--- a/src/bin/foldtrack/relay.rs
+++ b/src/bin/foldtrack/relay.rs
@@ -189,7 +189,8 @@
 
 /// What is left of a process that has handed over: its calls in flight and its clients' connections.
 pub(crate) struct Remainder {
-    pub calls: BTreeMap<(u64, u32), oneshot::Sender<()>>,
+    /// What calls each off, unless it has been.
+    pub calls: BTreeMap<(u64, u32), Option<oneshot::Sender<()>>>,
     pub figures: Figures,
     pub pool: Pool,
     pub inputs: Inputs,
@@ -234,8 +235,7 @@
             }
         });
         let mut replies: BTreeMap<u64, oneshot::Sender<Answer>> = BTreeMap::new();
-        let mut calls: BTreeMap<_, _> =
-            std::mem::take(&mut self.calls).into_iter().map(|(call, cancel)| (call, Some(cancel))).collect();
+        let mut calls = std::mem::take(&mut self.calls);
         let (mut next_name, mut terminated, mut look) = (0, None, Instant::now() + LOOK);
         let rest = loop {
             tokio::select! {
--- a/src/bin/foldtrack/targets.rs
+++ b/src/bin/foldtrack/targets.rs
@@ -341,7 +341,8 @@
                 };
                 // A lost packet makes this late by a second: what was told meanwhile holds for this call too.
                 let (go, may_go) = oneshot::channel();
-                inputs.send(Input::Connected { number: call.number, target: call.target, go });
+                let (number, attempt, target) = (call.number, call.attempt, call.target);
+                inputs.send(Input::Connected { number, attempt, target, go });
                 if !may_go.await.unwrap_or(false) {
                     unused = Some(connection);
                     return Err(Outcome::NotSent);
--- a/src/bin/foldtrack/upgrade.rs
+++ b/src/bin/foldtrack/upgrade.rs
@@ -77,7 +77,7 @@
     pub next_number: u64,
     pub messages: Vec<HeldState>,
     /// Calls that stay with the old process.
-    pub calls: Vec<(u64, u32, TargetId)>,
+    pub calls: Vec<(u64, u32, TargetId, bool)>,
     /// Endpoints by their number: name, address, zone, era.
     pub servers: Vec<(String, SocketAddr, u32, u32)>,
     pub timers: Vec<(Micros, u32)>,
--- a/tests/forwarder/crossings.rs
+++ b/tests/forwarder/crossings.rs
@@ -3,7 +3,7 @@
 use crate::world::*;
 use crate::{one_target, MS};
 use std::io::Write;
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::thread::sleep;
 
 /// Lines of the list for so many destinations at one server, with a limit of so many calls a second each.
@@ -130,6 +130,30 @@
     assert!(answered.contains(&true), "{answered:?}");
 }
 
+/// A process that ends while a connection comes up has sent nothing: an unsafe message is still to be tried.
+#[test]
+fn a_call_whose_connection_had_not_come_up_at_a_kill_has_not_run() {
+    let late = TcpListener::bind("127.0.0.1:0").unwrap();
+    // With no room in its queue but for the first, the system drops what comes.
+    rustix::net::listen(&late, 0).unwrap();
+    let address = late.local_addr().unwrap();
+    let first = TcpStream::connect(address).unwrap();
+    let platform = Platform::start(vec![line("s-1", address, 1, "active")]);
+    let mut forwarder =
+        Forwarder::start_with(&platform, |c| c["settings"]["limits"]["dial_timeout"] = 20_000_000.into());
+    assert_eq!(forwarder.hand_in(&fee("m1")), 202);
+    // The call is decided within milliseconds.
+    sleep(MS(300));
+    forwarder.kill();
+    drop(first);
+    let target = Server::start_on(late, |_| OK);
+    forwarder.start_again();
+    eventually("its call or its end", || {
+        target.seen().iter().any(|r| r.path == "/v1/messages") || !platform.notices().is_empty()
+    });
+    assert_eq!(platform.notices(), []);
+}
+
 /// Clients that send much and go, and answers that never end, leave no descriptor behind.
 #[test]
 fn what_bad_peers_held_is_free_again() {
