Hear a discovery that counts its versions lower: it drains and adds, and revives nothing

Seen: a test on real sockets. After SIGHUP to a discovery whose list has a lower version, a target that it lists as leaving still got a call, and one that only it lists got none: every list was dropped until its version passed the old one's.

At fault: Brain::list dropped all that is below the highest version so far. The lists of one watch come in order, so that only two things are lower: a late list (of a discovery that lags behind) and another count. Both can be served: what such a list drains or lacks gets no call, what it adds is used, and what is draining or gone stays so until a list counts higher. Taking it as it is was ruled out, since a late one would revive what has been drained.

Test seen to fail before.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -269,15 +269,17 @@
         (1.0 / part.max(1e-12)).min(self.even()).min(TROUBLE_SPANS * since as f64)
     }
 
-    /// A full list removes what it lacks; a cached one is only a start.
+    /// A full list removes what it lacks; a cached one is only a start. One of a lower version is late, or from
+    /// another discovery that counts anew: what it drains or lacks is not to be called, but it revives nothing.
     fn list(&mut self, kind: ListKind, version: u32, lines: Vec<Endpoint>) {
         if (kind == ListKind::Cached && self.s.subscribe) || kind == ListKind::Failed {
             self.out.push(Action::Subscribe { on: true });
         }
-        if version < self.list_version || kind == ListKind::Failed {
+        if kind == ListKind::Failed {
             return;
         }
-        self.list_version = version;
+        let late = version < self.list_version;
+        self.list_version = self.list_version.max(version);
         if kind == ListKind::Full {
             let named: BTreeSet<TargetId> = lines.iter().map(|e| e.target).collect();
             for (_, t) in self.targets.iter_mut().filter(|(id, _)| !named.contains(id)) {
@@ -305,7 +307,8 @@
             }
             l.targets.extend(known.is_none().then_some(e.target));
             let fresh = Target { lane, zone: e.zone, ..Target::default() };
-            self.targets.entry(e.target).or_insert(fresh).state = e.state;
+            let t = self.targets.entry(e.target).or_insert(fresh);
+            t.state = if late { e.state.max(t.state) } else { e.state };
             let d = self.destinations.get(&e.destination).filter(|_| known.is_none());
             let found = d.into_iter().flat_map(|d| &d.ready).filter(|((.., found), _)| *found);
             let ids = found.flat_map(|(_, set)| set).map(|(_, id)| *id);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -150,8 +150,8 @@
     pub tick: Micros,
 }
 
-/// State of an endpoint in the list. It tells nothing of health.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Default, Serialize, Deserialize)]
+/// State of an endpoint in the list, in the order in which it leaves. It tells nothing of health.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
 pub enum EndpointState {
     /// Listed.
     #[default]
--- a/tests/forwarder/crossings.rs
+++ b/tests/forwarder/crossings.rs
@@ -90,6 +90,32 @@
     }
 }
 
+/// Another discovery counts its versions anew. What it drains is drained; what had been drained stays so.
+#[test]
+fn a_discovery_that_counts_lower_is_heard_and_revives_nothing() {
+    let (old, new, gone) = (Server::start(|_| OK), Server::start(|_| OK), Server::start(|_| OK));
+    let platform =
+        Platform::start(vec![line("s-1", old.address, 1, "active"), line("s-9", gone.address, 9, "active")]);
+    let forwarder = Forwarder::start(&platform);
+    for _ in 0..3 {
+        platform.change(vec![line("s-1", old.address, 1, "active"), line("s-9", gone.address, 9, "leaving")]);
+        eventually("the list is told", || platform.has_told());
+    }
+    let moved = Platform::start(vec![
+        line("s-1", old.address, 1, "leaving"),
+        line("s-2", new.address, 1, "active"),
+        line("s-9", gone.address, 9, "active"),
+    ]);
+    forwarder.reload(&moved);
+    eventually("the list is told", || moved.has_told());
+    assert_eq!(forwarder.hand_in(&fee("drained").to(9).within(1_000)), 202);
+    assert_eq!(forwarder.hand_in(&fee("m1")), 202);
+    eventually("the call", || !old.seen().is_empty() || !new.seen().is_empty());
+    assert!(old.seen().is_empty(), "a drained target got a call");
+    eventually("its end", || platform.notices().len() + moved.notices().len() == 1);
+    assert!(gone.seen().is_empty(), "a drained target got a call");
+}
+
 /// Zones that the settings do not name are zones all the same: a repeat that is bound to one stays there.
 #[test]
 fn a_repeat_stays_in_its_zone_also_where_the_settings_do_not_name_it() {
