Keep the list that discovery told last over a restart: drains bind also while it is silent

Seen: a test on real sockets. A target is drained, discovery falls silent, the forwarder is killed and comes back: what is handed in goes to the drained target, by the list of the configuration.

At fault: nothing but the configuration's list was there to begin with; the wait of 250 ms for the first one (FIRST_LIST) helps only where discovery answers. Ruled out: waiting longer, since a silent discovery would keep clients out for as long.

A list too long for that is not kept, with a line in the log.

Tests: that one, seen to fail before, and two in last_list.rs.

--- a/src/bin/foldtrack/config.rs
+++ b/src/bin/foldtrack/config.rs
@@ -1,5 +1,6 @@
 //! What the forwarder is told at its start: the environment and the configuration file.
 
+use crate::last_list;
 use crate::platform::ServerList;
 use hatchline::settings::Parsed;
 use serde::Deserialize;
@@ -74,17 +75,18 @@
         if file.settings.settings.classes.is_empty() || file.settings.settings.slots == 0 {
             return Err(format!("{path}: settings without classes or without slots"));
         }
+        let state = PathBuf::from(variable("BALANCER_STATE")?);
         Ok(Config {
             listen: address("BALANCER_LISTEN")?.unwrap_or(file.listen),
             // The environment keeps the address of the first start; the file may be newer.
             discovery: file.discovery,
             admin: address("BALANCER_ADMIN")?.or(file.admin),
-            state: PathBuf::from(variable("BALANCER_STATE")?),
             seed: u64::from_str_radix(&file.seed, 16)
                 .map_err(|e| format!("{path}: seed {:?}: {e}", file.seed))?,
             sockets: file.limits.sockets,
             disk_bytes: disk_bytes as u64,
-            known: file.known,
+            known: last_list::newest(&state, file.known),
+            state,
             settings: Arc::new(file.settings),
         })
     }
--- /dev/null
+++ b/src/bin/foldtrack/last_list.rs
@@ -0,0 +1,106 @@
+//! The list that discovery told last, in a file that outlasts the process. What it drained binds the next process from
+//! its first moment, also while discovery is silent; the configuration's list may be older.
+
+use crate::platform::{ServerLine, ServerList, ServerState};
+use std::collections::BTreeMap;
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+
+/// Bytes of the file at most: some 200 endpoints. A longer list is not kept.
+const LONGEST: usize = 32 * 1024;
+/// What the folder that lasts has to leave free: the file stands beside the one that takes its place.
+pub(crate) const ROOM: u64 = 2 * LONGEST as u64;
+
+fn path(folder: &Path) -> PathBuf {
+    folder.join("list")
+}
+
+/// The list to begin with: the one that was told last, unless the configuration knows a newer one.
+pub(crate) fn newest(folder: &Path, known: ServerList) -> ServerList {
+    let kept = match fs::read(path(folder)) {
+        Ok(bytes) => serde_json::from_slice::<ServerList>(&bytes)
+            .inspect_err(|e| eprintln!("discovery: the list that was told last cannot be read: {e}"))
+            .ok(),
+        Err(_) => None,
+    };
+    kept.filter(|kept| kept.version >= known.version).unwrap_or(known)
+}
+
+/// What has been told, and where it is kept.
+#[derive(Debug)]
+pub(crate) struct LastList {
+    path: PathBuf,
+    lines: BTreeMap<String, ServerLine>,
+}
+
+impl LastList {
+    pub fn open(folder: &Path, known: &ServerList) -> LastList {
+        let lines = newest(folder, known.clone()).servers.into_iter().map(|s| (s.id.clone(), s));
+        LastList { path: path(folder), lines: lines.collect() }
+    }
+
+    /// Takes in a list or the changes since the last, and writes what is listed now.
+    pub fn note(&mut self, list: &ServerList) {
+        if list.full {
+            self.lines.clear();
+        }
+        self.lines.extend(list.servers.iter().map(|s| (s.id.clone(), s.clone())));
+        self.lines.retain(|_, s| s.state != ServerState::Left);
+        if let Err(error) = self.write(list.version) {
+            // An older one would tell less than the configuration does.
+            let _ = fs::remove_file(&self.path);
+            eprintln!("discovery: the list is not kept over a restart: {error}");
+        }
+    }
+
+    fn write(&self, version: u64) -> io::Result<()> {
+        let list = ServerList { version, full: true, servers: self.lines.values().cloned().collect() };
+        let bytes = serde_json::to_vec(&list).map_err(io::Error::other)?;
+        if bytes.len() > LONGEST {
+            return Err(io::Error::other(format!("{} bytes, {LONGEST} at most", bytes.len())));
+        }
+        let new = self.path.with_extension("new");
+        fs::write(&new, bytes).and_then(|()| fs::rename(&new, &self.path))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn line(id: &str, state: ServerState) -> ServerLine {
+        let (addr, zone, kind) = ("127.0.0.1:80".parse().unwrap(), "z".into(), "k".into());
+        ServerLine { id: id.into(), addr, zone, kind, cell: 1, state, weight: 1.5 }
+    }
+
+    fn list(version: u64, full: bool, servers: Vec<ServerLine>) -> ServerList {
+        ServerList { version, full, servers }
+    }
+
+    #[test]
+    fn changes_add_up_over_processes_and_the_newer_list_counts() {
+        let folder = tempfile::tempdir().unwrap();
+        let ids =
+            |list: &ServerList| list.servers.iter().map(|s| (s.id.clone(), s.state)).collect::<Vec<_>>();
+        let known = list(3, true, vec![line("a", ServerState::Active), line("b", ServerState::Active)]);
+        LastList::open(folder.path(), &known).note(&list(4, false, vec![line("a", ServerState::Leaving)]));
+        let change = list(5, false, vec![line("b", ServerState::Left), line("c", ServerState::Active)]);
+        LastList::open(folder.path(), &known).note(&change);
+        let kept = newest(folder.path(), known.clone());
+        assert_eq!((kept.version, kept.full), (5, true));
+        assert_eq!(ids(&kept), [("a".into(), ServerState::Leaving), ("c".into(), ServerState::Active)]);
+        assert_eq!(newest(folder.path(), list(6, true, vec![])).version, 6);
+        fs::write(path(folder.path()), "{").unwrap();
+        assert_eq!(newest(folder.path(), known).version, 3);
+    }
+
+    #[test]
+    fn a_list_that_has_no_room_is_not_kept_at_all() {
+        let folder = tempfile::tempdir().unwrap();
+        let mut last = LastList::open(folder.path(), &ServerList::default());
+        last.note(&list(1, true, vec![line("a", ServerState::Active)]));
+        last.note(&list(2, false, (0..1000).map(|n| line(&n.to_string(), ServerState::Active)).collect()));
+        assert_eq!(newest(folder.path(), ServerList::default()).version, 0);
+    }
+}
--- a/src/bin/foldtrack/main.rs
+++ b/src/bin/foldtrack/main.rs
@@ -8,6 +8,7 @@
 mod door;
 mod figures;
 mod journal;
+mod last_list;
 mod message;
 mod node;
 mod out;
--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -7,6 +7,7 @@
 use crate::door::{self, Ask, Told};
 use crate::figures::{Ended, Figures};
 use crate::journal::{Fate, Journal, Notice, Record, Restored};
+use crate::last_list::{self, LastList};
 use crate::message::{order_key, Message};
 use crate::out::{self, TakenOut};
 use crate::places::Places;
@@ -225,6 +226,7 @@
     untried: Untried,
     figures: Figures,
     taken_out: TakenOut,
+    last_list: LastList,
     /// Clients are accepted.
     accepting: bool,
     target_ids: HashMap<String, TargetId>,
@@ -322,7 +324,7 @@
         config: &Config, inputs: &Inputs, clock: Clock, brain: Brain,
     ) -> io::Result<(Node, BTreeMap<u64, Restored>)> {
         let settings = &config.settings.settings;
-        let room = config.disk_bytes.saturating_sub(out::ROOM);
+        let room = config.disk_bytes.saturating_sub(out::ROOM + last_list::ROOM);
         let (journal, restored) = Journal::open(&config.state, room, settings.max_attempts)?;
         let discovery = watch::Sender::new(config.discovery);
         let conn_idle = Duration::from_micros(settings.connection_idle);
@@ -346,6 +348,7 @@
             untried: Untried::default(),
             figures: Figures::new(&config.settings.class_names),
             taken_out: TakenOut::open(&config.state)?,
+            last_list: LastList::open(&config.state, &config.known),
             accepting: false,
             target_ids: HashMap::new(),
             servers: Vec::new(),
@@ -433,6 +436,7 @@
             Input::CallEnded(end) => self.call_ended(end),
             Input::List(list) => {
                 let kind = if list.full { ListKind::Full } else { ListKind::Delta };
+                self.last_list.note(&list);
                 self.list(list, kind);
             }
             Input::Reported { numbers } => self.reported(numbers),
--- a/src/bin/foldtrack/platform.rs
+++ b/src/bin/foldtrack/platform.rs
@@ -9,7 +9,7 @@
 use hyper::header::{CONNECTION, CONTENT_TYPE, HOST};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use serde::{Deserialize, Deserializer};
+use serde::{Deserialize, Deserializer, Serialize};
 use serde_json::Value;
 use std::future::{poll_fn, Future};
 use std::io;
@@ -58,7 +58,7 @@
 /// What the agent says to a notice is its status.
 const LONGEST_ANSWER: usize = 64 * 1024;
 
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub(crate) struct ServerList {
     pub version: u64,
     #[serde(default)]
@@ -77,7 +77,7 @@
     Ok(lines.into_iter().filter_map(read).collect())
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) struct ServerLine {
     pub id: String,
     pub addr: SocketAddr,
@@ -91,7 +91,7 @@
     pub weight: f64,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub(crate) enum ServerState {
     Active,
--- a/tests/forwarder/crossings.rs
+++ b/tests/forwarder/crossings.rs
@@ -180,6 +180,22 @@
     assert_eq!(platform.notices(), []);
 }
 
+/// Discovery is down when the process comes back: what its predecessor was told binds it from its first moment.
+#[test]
+fn a_drain_outlasts_the_process_though_discovery_is_silent() {
+    let (old, new) = (Server::start(|_| OK), Server::start(|_| OK));
+    let platform = Platform::start(vec![line("s-1", old.address, 1, "active")]);
+    let mut forwarder = Forwarder::start(&platform);
+    platform.change(vec![line("s-1", old.address, 1, "leaving"), line("s-2", new.address, 1, "active")]);
+    eventually("the list is told", || platform.has_told());
+    platform.server.behave(|_| Reply::Silence);
+    forwarder.kill();
+    forwarder.start_again();
+    assert_eq!(forwarder.hand_in(&fee("m1")), 202);
+    eventually("the call", || !old.seen().is_empty() || !new.seen().is_empty());
+    assert!(old.seen().is_empty(), "a drained target got a call");
+}
+
 /// Clients that send much and go, and answers that never end, leave no descriptor behind.
 #[test]
 fn what_bad_peers_held_is_free_again() {
