Hand nothing back once its time is over, and end messages before it by the step of the timers

Event::Late told only how long turns took. Ruled out: clients that go, connections ended with a request begun (none), restarts (their allowance).

Now Late has the timers' step (3 ms), and Brain::give_up fails what is over in place of handing it back: no client can come again in time, and it need not be told so.

Test: tests/restart.rs, seen to fail.

--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -46,6 +46,9 @@
 const NOTICES: usize = 64;
 /// A send that has waited for longer than this is decided anew.
 const STALE_SEND: Micros = 50_000;
+/// The runtime's timers come up to 2 ms late, by their own step and that of the wait below them; the rest is for the end
+/// to be written. What is handed back once its time is over, by whatever little, is no answer.
+const TIMER_STEP: Duration = Duration::from_millis(3);
 /// How long the start waits for the list.
 const FIRST_LIST: Duration = Duration::from_millis(250);
 const SWEEP: Duration = Duration::from_secs(1);
@@ -384,7 +387,7 @@
     /// Takes in all that has happened, lets the module decide once, and carries out what it says.
     fn round(&mut self, batch: &mut Vec<Input>) {
         let begun = self.clock.now();
-        self.handle(Event::Late { by: self.strain.lag().as_micros() as Micros });
+        self.handle(Event::Late { by: (self.strain.lag() + TIMER_STEP).as_micros() as Micros });
         for input in batch.drain(..) {
             self.take_in(input);
         }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -449,10 +449,12 @@
         d.ready.retain(|_, set| !set.is_empty());
     }
 
-    /// Ends a message that is not (or no longer) out: refused where that is true to the client, else failed.
+    /// Ends a message that is not (or no longer) out: refused where that is true to the client and can come in
+    /// time for it to come again, else failed.
     fn give_up(&mut self, id: MessageId) {
         let Some(m) = self.messages.get(&id).filter(|m| !m.over) else { return };
-        let (refuse, retry_after) = (self.allowed(m).2, self.advice(m.destination));
+        let refuse = self.allowed(m).2 && m.expires > self.now;
+        let retry_after = self.advice(m.destination);
         self.out.push(if refuse { Action::Refuse { id, retry_after } } else { Action::Fail { id } });
         self.finish(id);
     }
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -150,3 +150,27 @@
     let soon = calls.iter().filter(|at| **at < 300 * MS).count();
     assert!(soon < 60, "{soon} of 300 in the first 300 ms");
 }
+
+/// roll+brink: a message whose call waited until its time was over was handed back half a millisecond after it. Its client
+/// had no time to come again, and it counted as never answered.
+#[test]
+fn what_is_over_is_not_handed_back() {
+    let mut restart = Restart::new(settings(vec![class(Effect::Repeatable)]), 0.0);
+    let end = |late: u64| {
+        let (mut out, id) = (Vec::new(), 1 + late);
+        let expires = restart.now + S;
+        restart.brain.handle(
+            restart.now,
+            Event::Request { id, class: 0, destination: 1, order_key: 0, expires },
+            &mut out,
+        );
+        restart.brain.decide(restart.now, &mut out);
+        restart.now = expires - 1 + late;
+        let outcome = Outcome::TimedOut;
+        let (attempt, target, took, ended, wait, report) = (0, 1, S, false, 0, None);
+        let event = Event::Outcome { id, attempt, target, outcome, took, ended, wait, report };
+        restart.brain.handle(restart.now, event, &mut out);
+        out.iter().any(|a| matches!(a, Action::Refuse { id: over, .. } if *over == id))
+    };
+    assert_eq!([0, 1, 500].map(end), [true, false, false]);
+}
