--- a/src/brain.rs
+++ b/src/brain.rs
@@ -269,8 +269,8 @@
         (1.0 / part.max(1e-12)).min(self.even()).min(TROUBLE_SPANS * since as f64)
     }
 
-    /// A full list removes what it lacks; a cached one is only a start. One of a lower version is late, or from
-    /// another discovery that counts anew: what it drains or lacks is not to be called, but it revives nothing.
+    /// A full list removes what it lacks; a cached one is only a start. One of a lower version is late, or
+    /// from another discovery that counts anew: what it drains or lacks gets no call, but it revives nothing.
     fn list(&mut self, kind: ListKind, version: u32, lines: Vec<Endpoint>) {
         if (kind == ListKind::Cached && self.s.subscribe) || kind == ListKind::Failed {
             self.out.push(Action::Subscribe { on: true });
@@ -449,8 +449,8 @@
         d.ready.retain(|_, set| !set.is_empty());
     }
 
-    /// Ends a message that is not (or no longer) out: refused where that is true to the client and can come in
-    /// time for it to come again, else failed.
+    /// Ends a message that is not (or no longer) out: refused where that is true to the client and its time
+    /// is not over, else failed.
     fn give_up(&mut self, id: MessageId) {
         let Some(m) = self.messages.get(&id).filter(|m| !m.over) else { return };
         let refuse = self.allowed(m).2 && m.expires > self.now;
