Tell a full table of connections from a limit, and give up kept places in time

Of 13956 refusals 13955 came on new connections, as "503" with "Connection: close", after the connection's own time; on a deployment with limits alone they come on kept ones too and keep them (2641 calls followed on those). The endpoints served 7 calls a second on some 16 connections: 0.4 a second each, idle most of the time, held by those that had come first.

Ruled out: limits (no refusal of those endpoints told a wait or came on a kept connection), outages (no connection failed), batches, worth (the other class does not go there).

At fault: read_head took such a refusal for Full, so that judge halved the window, cut the pace and paused as after a limit; judge closed connections only of those that had been denied, never of those that held the table.

Now it is an outcome of its own (TooManyConnections): no verdict on health or limit; the next call to that endpoint after a pause that doubles; connections closed after use for the next 32. And one whose rests add up to the idle time of the settings is closed after use, in a fleet of any size.

--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -768,8 +768,7 @@
                 self.record(end.number, &Record::Over);
             }
         } else if held && begun {
-            let never = matches!(end.outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent);
-            let fate = if never { Fate::NeverRan } else { Fate::MayHaveRun };
+            let fate = if end.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
             self.record(end.number, &Record::Ended(fate));
         }
         let now = self.clock.now();
--- a/src/bin/foldtrack/tally.rs
+++ b/src/bin/foldtrack/tally.rs
@@ -21,10 +21,10 @@
     /// Clients that went before their answer was written.
     pub gone: u32,
     /// Calls by their outcome, and for how long they held their slots.
-    ended: [u32; 8],
+    ended: [u32; 9],
     /// Answers that told their outcome, but did not come to their end.
     pub cut_short: u32,
-    busy: [Duration; 8],
+    busy: [Duration; 9],
     /// Resets of connections that had stood idle, the shortest such span, and the longest that did no harm.
     stale: u32,
     stale_from: Option<Duration>,
@@ -72,8 +72,17 @@
     pub lag: Duration,
 }
 
-const NAMES: [&str; 8] =
-    ["ok", "error", "full", "timed out", "no connection", "reset", "cancelled", "not sent"];
+const NAMES: [&str; 9] = [
+    "ok",
+    "error",
+    "full",
+    "timed out",
+    "no connection",
+    "reset",
+    "cancelled",
+    "not sent",
+    "too many connections",
+];
 
 fn place(outcome: Outcome) -> usize {
     match outcome {
@@ -85,6 +94,7 @@
         Outcome::Reset => 5,
         Outcome::Cancelled => 6,
         Outcome::NotSent => 7,
+        Outcome::TooManyConnections => 8,
     }
 }
 
--- a/src/bin/foldtrack/targets.rs
+++ b/src/bin/foldtrack/targets.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{HeaderMap, CONTENT_TYPE, HOST};
+use hyper::header::{HeaderMap, CONNECTION, CONTENT_TYPE, HOST};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::collections::BTreeMap;
@@ -370,9 +370,12 @@
     match answer {
         Ok((mut connection, response)) => {
             read_head(&mut end, &response, reports);
+            if !reused && is_crowded(&end, &response) {
+                end.outcome = Outcome::TooManyConnections;
+            }
             let rest = timeout(REST_WAIT, connection.finish(response.into_body(), REST_BYTES)).await;
             end.connection = matches!(rest, Ok(Some(_))).then_some(connection);
-            end.cut_short = end.connection.is_none();
+            end.cut_short = end.connection.is_none() && end.outcome != Outcome::TooManyConnections;
         }
         // The rest of the answer cannot be read, or does not come.
         Err(_) if handed_over.as_ref().is_some_and(FirstLine::says_delivered) => {
@@ -403,6 +406,14 @@
     request.body(payload).ok()
 }
 
+/// Whether the first answer on a new connection turns that away, and not the call: an endpoint with all the connections
+/// that it takes refuses and closes at once. One above its limit keeps the connection, or tells a wait.
+fn is_crowded(end: &CallEnd, response: &Response<Incoming>) -> bool {
+    let closes =
+        text(response.headers(), CONNECTION.as_str()).is_some_and(|v| v.eq_ignore_ascii_case("close"));
+    closes && end.outcome == Outcome::Full && end.wait_until.is_none()
+}
+
 /// What an answer means, by the table of the protocol. What is not in it may have run.
 fn read_head(end: &mut CallEnd, response: &Response<Incoming>, reports: bool) {
     let headers = response.headers();
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -56,6 +56,9 @@
 const SPREAD_UP: f64 = 1.5;
 /// What each trial of a destination that looks out multiplies the span to the next by.
 const TRIAL_BACKOFF: f64 = 1.3;
+/// Connections in a row that are closed after use once one was turned away from a full table: where calls
+/// alone take up most of it, one in some tens meets it full.
+const CLOSED_AFTER_CROWD: u32 = 32;
 /// Part of the multiple that would push a cold destination over which all senders together may use.
 const RAMP_CAUTION: f64 = 0.6;
 
@@ -495,9 +498,7 @@
         m.found &= outcome == Outcome::NotSent;
         let (target, call) = (a.target, a.call);
         end.planned = a.planned && outcome == Outcome::TimedOut;
-        let never =
-            |a: &Attempt| matches!(a.done, Some(Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent));
-        if m.attempts.iter().all(never) {
+        if m.attempts.iter().all(|a| a.done.is_some_and(Outcome::never_ran)) {
             m.ran = None;
         }
         if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
@@ -523,6 +524,7 @@
                 match outcome {
                     Outcome::NotSent => l.not_sent(trial, self.now + self.s.tick),
                     Outcome::Cancelled => {}
+                    Outcome::TooManyConnections => self.crowded(lane, target, trial, end.sent),
                     _ => self.judge(lane, target, &end),
                 }
             }
@@ -663,7 +665,14 @@
                 t.denied_until = self.now + self.s.connection_idle;
             }
             let last = outcome != Outcome::ConnectFailed && !l.calls.values().any(|c| c.target == target);
-            let close = last && (t.denied_until > self.now || seldom && outcome == Outcome::Ok);
+            let short = t.denied_until > self.now || t.to_close > 0;
+            // One always in use before it is idle for too long would keep its place for good, mostly idle,
+            // and never hear that others find none: its rests count together.
+            let rested = t.rests > self.s.connection_idle;
+            let close = last && (short || rested || seldom && outcome == Outcome::Ok);
+            (t.crowded, t.to_close) = (0, t.to_close.saturating_sub(u32::from(close)));
+            t.rests *= u64::from(!close);
+            t.ended = self.now;
             self.out.extend(close.then_some(Action::CloseIdle { target }));
         }
         let ramps = matches!(self.lanes[lane].gate, Gate::Ramp { .. });
@@ -671,6 +680,20 @@
             .then(|| self.log(format!("destination of {target} answers again: slow start")));
     }
 
+    /// An endpoint is up and has all the connections it takes: that says nothing of its health or its limit.
+    /// The next comes after a pause that grows, and for long each is closed after use: kept ones fill the
+    /// table again, idle. Guards the many that share it; costs a handshake a call.
+    fn crowded(&mut self, lane: usize, target: TargetId, trial: bool, sent: Micros) {
+        let (jitter, longest) = (0.5 + self.random(), self.least_aim() / 2.0);
+        let l = &mut self.lanes[lane];
+        let Some(t) = self.targets.get_mut(&target) else { return };
+        let first = l.times.mean().max((self.now - sent) as f64);
+        let pause = (first * f64::from(1 << t.crowded.min(10))).min(longest) * jitter;
+        t.away_until = self.now + pause as Micros;
+        (t.crowded, t.to_close) = (t.crowded + 1, CLOSED_AFTER_CROWD);
+        l.not_sent(trial, t.away_until);
+    }
+
     /// A destination looks out: nothing but single trials until one is answered.
     fn shut(&mut self, lane: usize) {
         let least_aim = self.least_aim();
@@ -788,7 +811,8 @@
     fn endpoint(&self, lane: usize, zone: Option<u32>) -> Option<TargetId> {
         let l = &self.lanes[lane];
         let all = l.targets.iter().map(|id| (id, &self.targets[id]));
-        let usable = all.filter(|(id, t)| self.takes_calls(**id, t) && zone.is_none_or(|z| z == t.zone));
+        let open = all.filter(|(id, t)| self.takes_calls(**id, t) && t.away_until <= self.now);
+        let usable = open.filter(|(_, t)| zone.is_none_or(|z| z == t.zone));
         let patience = self.patience(l);
         let best = usable.min_by_key(|(id, t)| {
             // An endpoint that sits on a call past all that is usual is silent, though the others answer.
@@ -882,6 +906,9 @@
         });
         let l = &mut self.lanes[lane];
         let zone = self.targets.get_mut(&target).map_or(0, |t| {
+            let rest = if t.last_used > t.ended { 0 } else { self.now.saturating_sub(t.ended) };
+            // After a longer one the endpoint has closed it.
+            t.rests = if rest < self.s.connection_idle { t.rests + rest } else { 0 };
             t.last_used = self.now;
             t.zone
         });
--- a/src/handover.rs
+++ b/src/handover.rs
@@ -4,7 +4,7 @@
 use crate::interface::Settings;
 
 /// Raised whenever the meaning or the layout of what goes along changes.
-pub const FORMAT: u32 = 2;
+pub const FORMAT: u32 = 3;
 
 impl Brain {
     /// All that this sender knows goes along: its messages and calls, told waits, cold destinations, what is
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -220,6 +220,17 @@
     Cancelled,
     /// Not sent at all: no slot, message over, or out of attempts.
     NotSent,
+    /// A new connection was turned away by an endpoint that is up: it has as many as it takes, idle ones counted.
+    /// Never ran.
+    TooManyConnections,
+}
+
+impl Outcome {
+    /// Whether it proves that the attempt never ran.
+    pub fn never_ran(self) -> bool {
+        use Outcome::*;
+        matches!(self, Full | ConnectFailed | NotSent | TooManyConnections)
+    }
 }
 
 /// What a destination tells of its limit beside an answer; some time old and not exact.
--- a/src/state.rs
+++ b/src/state.rs
@@ -83,6 +83,14 @@
     pub avoid_until: Micros,
     /// It has turned a connection away: its table counts as short until then.
     pub denied_until: Micros,
+    /// Connections turned away from its full table in a row; no other is tried before then; how many in a row are
+    /// still to be closed after use.
+    pub crowded: u32,
+    pub away_until: Micros,
+    pub to_close: u32,
+    /// When a call to it ended last; how long connections have stood idle in sum since one was opened.
+    pub ended: Micros,
+    pub rests: Micros,
     /// When an operator put it back: it may have been started anew, and be cold.
     pub cold: Option<Micros>,
 }
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -9,7 +9,7 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::process::{Command, Stdio};
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -788,3 +788,28 @@
         assert!(said.lines().count() == 1 && !said.contains("panic"), "{said}");
     }
 }
+
+/// The connections on which four messages go, one after the other, to a target whose first answer is this refusal.
+fn connections_after(refusal: Reply) -> Vec<usize> {
+    let first = AtomicBool::new(true);
+    let (target, _platform, forwarder) =
+        one_target(move |_| if first.swap(false, Ordering::Relaxed) { refusal.clone() } else { OK });
+    for (n, id) in ["m1", "m2", "m3", "m4"].into_iter().enumerate() {
+        assert_eq!(forwarder.hand_in(&fee(id)), 202);
+        eventually("its delivery", || target.seen().len() >= n + 2);
+        // The forwarder has read the answer by the time that it says nothing is held.
+        eventually("its end", || door::figure_at(&forwarder, "active") == 0);
+    }
+    target.seen().iter().skip(1).map(|r| r.connection).collect()
+}
+
+/// Found on a deployment whose endpoints hold few connections: such a refusal was taken for one of a limit, and what got a
+/// place kept it.
+#[test]
+fn connections_to_a_target_with_too_many_are_closed_after_use() {
+    let crowded = b"HTTP/1.1 503 Told\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+    assert_eq!(connections_after(Reply::Cut(crowded)), [1, 2, 3, 4]);
+    // Above a limit the connection is good for the next call.
+    let kept = connections_after(Reply::Status(503, ""));
+    assert!(kept.windows(2).any(|pair| pair[0] == pair[1]), "{kept:?}");
+}
