Let no message join another's call on sockets: the protocol has no such call

At fault: Brain::fill joins messages to a call for one slot and one part of the limit. The protocol on sockets has one call for one message, so each went as a call of its own, up to four at once.

Test: tests/forwarder, four messages on one slot go one after the other.

--- a/src/bin/foldtrack/config.rs
+++ b/src/bin/foldtrack/config.rs
@@ -67,7 +67,10 @@
     }
 
     pub fn load() -> Result<Config, String> {
-        let (path, file) = read_file()?;
+        let (path, mut file) = read_file()?;
+        // The protocol has no call with several messages: joined ones would go as a call each, all at once, on the slot
+        // and the part of the limit of one.
+        file.settings.settings.batch.clear();
         let disk_bytes = file.limits.disk_mb * 1e6;
         if !(disk_bytes.is_finite() && disk_bytes > 0.0) {
             return Err(format!("{path}: limits.disk_mb is no room"));
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -813,3 +813,22 @@
     let kept = connections_after(Reply::Status(503, ""));
     assert!(kept.windows(2).any(|pair| pair[0] == pair[1]), "{kept:?}");
 }
+
+/// Found on a deployment whose settings let several messages go in one call: each went as a call of its own, at once.
+#[test]
+fn messages_that_could_share_a_call_go_one_by_one() {
+    const LASTS: u64 = 300;
+    let target = Server::start(|_| Reply::Later(MS(LASTS), 200));
+    let platform = Platform::start(vec![line("s-1", target.address, 1, "active")]);
+    let forwarder = Forwarder::start_with(&platform, |c| {
+        c["settings"]["family_info"]["batch_by_kind"] = vec![4].into();
+        c["settings"]["family_info"]["slots"] = 1.into();
+    });
+    for id in ["m1", "m2", "m3", "m4"] {
+        assert_eq!(forwarder.hand_in(&fee(id)), 202);
+    }
+    eventually("all calls", || target.seen().len() == 4);
+    // One slot: a call begins once the last has its answer. Timers may be early by some milliseconds.
+    let seen = target.seen();
+    assert!(seen.windows(2).all(|pair| pair[1].at - pair[0].at > MS(LASTS - 50)), "{seen:?}");
+}
