Ask discovery again within 6 s whatever became of the calls before

At fault: TURNED_AWAY_PAUSE, 125 ms a forwarder and doubled, had no bound (22 to 131 s at 350); LATEST_BEGIN of 5 s left no time for a second call where the first met silence (4 s) or was turned away.

Now: that pause is 1.85 s at most, a half more or less; a watch begins within 2.5 s, and a silent call on request is given up 1.5 s after its wait. Two pauses (5.55 s), or one and a silent call (5.33 s), fit into 6 s.

Test: sizes 4 and 350, pushed and on request, first calls turned away once, twice, before and after a silent one.

--- a/src/bin/foldtrack/platform.rs
+++ b/src/bin/foldtrack/platform.rs
@@ -27,23 +27,28 @@
 const WATCH: Duration = Duration::from_secs(1);
 /// How much later than that an answer may come, or than at once where nothing is waited for. What a silent watch misses
 /// binds 6 s after it fell silent, and 4 s after SIGHUP: by then another call has to have its answer. Where lists are
-/// pushed the agent has them at hand. Where they are told on request, discovery may have a fleet to answer before.
+/// pushed the agent has them at hand. Where they are told on request, discovery may have a fleet to answer before; but what
+/// it had while a call was out binds too, and two calls that find silence, or one behind a call turned away, fit into 6 s.
 const AGENT_LATE: Duration = Duration::from_secs(1);
-const DISCOVERY_LATE: Duration = Duration::from_secs(3);
+const DISCOVERY_LATE: Duration = Duration::from_millis(1500);
 /// Pauses after a failure: doubled each time, from the first to the longest. What an agent gets when discovery is back
 /// binds at once, and drains are kept within some hundreds of milliseconds: no pause may take those up.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_AGENT_PAUSE: Duration = Duration::from_millis(100);
-const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 /// Discovery serves a whole fleet, and what it turns away costs it nearly as much as what it answers. A call that
-/// was turned away comes again after so long for each forwarder in the fleet.
+/// was turned away comes again after so long for each forwarder in the fleet, a half more or less.
 const TURNED_AWAY_PAUSE: Duration = Duration::from_millis(125);
+/// But what discovery has binds 6 s later, whatever calls it refused: two such pauses, or one and a silent call, have to
+/// fit into that, in a fleet of any size.
+const LONGEST_TURNED_AWAY_PAUSE: Duration = Duration::from_millis(1850);
 /// Where lists are told on request, a fleet that starts together begins its watches at random within so long for each
 /// forwarder in it: discovery takes on some twenty new watches a second, and all that wait behind those are turned away.
 /// Where they are pushed, the agent has them already, and they bind from then on: a watch costs nothing and begins at once.
 const BEGIN_SPREAD: Duration = Duration::from_millis(50);
-/// What discovery has to tell binds after 6 s at the latest: no watch begins later than one that waits would end by then.
-const LATEST_BEGIN: Duration = Duration::from_secs(5);
+/// What discovery has to tell binds after 6 s at the latest: no watch begins so late that a first call which finds silence,
+/// or is turned away, would not leave time for a second.
+const LATEST_BEGIN: Duration = Duration::from_millis(2500);
 /// An agent that answers each watch at once, without news, is not asked more often than this.
 const EMPTY_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_LIST: usize = 4 << 20;
@@ -148,7 +153,6 @@
 async fn watch_at(address: SocketAddr, settings: &Settings, mut version: Option<u64>, inputs: Inputs) {
     let mut connection = None;
     let mut pause = FIRST_PAUSE;
-    let mut turned_away = 0;
     let (late, longest_pause) = match settings.subscribe {
         true => (DISCOVERY_LATE, LONGEST_PAUSE),
         false => (AGENT_LATE, LONGEST_AGENT_PAUSE),
@@ -172,13 +176,11 @@
         };
         if matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
             // It is there, and has too much to do: calls that come again soon would keep it so.
-            turned_away += 1;
             connection = None;
-            let pause = TURNED_AWAY_PAUSE * settings.senders * turned_away.min(2);
+            let pause = (TURNED_AWAY_PAUSE * settings.senders).min(LONGEST_TURNED_AWAY_PAUSE);
             sleep(pause.mul_f64(0.5 + fastrand::f64())).await;
             continue;
         }
-        turned_away = 0;
         match serde_json::from_slice::<ServerList>(&body) {
             Ok(list) if status == StatusCode::OK => {
                 pause = FIRST_PAUSE;
--- a/tests/forwarder/crossings.rs
+++ b/tests/forwarder/crossings.rs
@@ -4,7 +4,9 @@
 use crate::{one_target, MS};
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread::sleep;
+use std::time::Instant;
 
 /// Lines of the list for so many destinations at one server, with a limit of so many calls a second each.
 fn destinations(server: &Server, count: u32, limit: f64) -> Vec<serde_json::Value> {
@@ -73,6 +75,39 @@
     }
 }
 
+/// What discovery has binds 6 s later, whatever became of the calls before; a fleet of any size may be told on request.
+#[test]
+fn a_change_is_asked_for_in_time_after_calls_that_were_turned_away_or_met_silence() {
+    const BUSY: Reply = Reply::Status(503, "Connection: close\r\n");
+    let fates = [vec![BUSY], vec![BUSY, BUSY], vec![BUSY, Reply::Silence], vec![Reply::Silence, BUSY]];
+    let target = Server::start(|_| OK);
+    let watches: Vec<_> = ["pushed", "on_request"]
+        .into_iter()
+        .flat_map(|how| [4, 350].map(|size| (how, size)))
+        .flat_map(|(how, size)| fates.clone().map(|fates| (how, size, fates)))
+        .map(|(how, size, fates)| {
+            let platform = Platform::start(vec![line("s-1", target.address, 1, "active")]);
+            let (met, calls) = (fates.len(), AtomicUsize::new(0));
+            platform.server.behave(move |_| {
+                fates.get(calls.fetch_add(1, Ordering::Relaxed)).cloned().unwrap_or(Reply::Close)
+            });
+            let start = Instant::now();
+            let forwarder = Forwarder::start_with(&platform, |c| {
+                (c["settings"]["balancers"], c["settings"]["discovery"]) = (size.into(), how.into());
+            });
+            (how, size, met, start, platform, forwarder)
+        })
+        .collect();
+    for (how, size, met, start, platform, _forwarder) in &watches {
+        eventually("a call after these", || platform.server.seen().len() > *met);
+        let seen = platform.server.seen();
+        let (gap, begun) = (seen[*met].at - seen[0].at, seen[1].at - *start);
+        assert!(gap < MS(6_000), "{how}, {size} forwarders: a call {gap:?} after one that failed");
+        // The start of the process counts in.
+        assert!(begun < MS(7_500), "{how}, {size} forwarders: a second call {begun:?} after the start");
+    }
+}
+
 #[test]
 fn after_sighup_a_silent_discovery_is_asked_again_in_time() {
     let target = Server::start(|_| OK);
