Keep the last list whatever its length, in room that follows its need

last_list.rs kept no list of over 32 KiB, some 200 endpoints: with more, a drain was forgotten over a restart while discovery is silent. Now the folder leaves free twice what the known list needs with a quarter to grow, 64 KiB at least; a list that outgrows it asks the log for more, which gives it up if all that is live still fits, compacted if need be. If not, no list is kept, as before, with a line in the log.

The test a_list_that_has_no_room_is_not_kept_at_all took the cap of 32 KiB for granted, which the new terms rule out; it now refuses the room instead. New: a list of 1,024 endpoints is kept, fits, and is kept at once by the next process (fails on the cap); a full log gives nothing up, one that has emptied does and loses nothing.

--- a/src/bin/foldtrack/journal.rs
+++ b/src/bin/foldtrack/journal.rs
@@ -144,6 +144,20 @@
         2 * (self.live_bytes + size as u64 + messages * self.reserve) + SLACK <= self.room
     }
 
+    /// Leaves so many bytes of its room to others from now on, if all that is live still fits.
+    pub fn give_up_room(&mut self, bytes: u64) -> bool {
+        let room = self.room.saturating_sub(bytes);
+        let live = self.live_bytes + self.live.len() as u64 * self.reserve;
+        if 2 * live + SLACK > room {
+            return false;
+        }
+        if self.length + self.live_bytes + SLACK > room && self.compact().is_err() {
+            return false;
+        }
+        self.room = room;
+        true
+    }
+
     pub fn append(&mut self, number: u64, record: &Record) -> io::Result<()> {
         let frame = encode(number, record)?;
         let length = self.length + frame.len() as u64;
@@ -261,6 +275,24 @@
         })
     }
 
+    #[test]
+    fn room_is_given_up_only_while_what_is_live_fits_in_the_rest() {
+        let folder = tempfile::tempdir().unwrap();
+        let (mut journal, _) = open(folder.path());
+        let mut taken = 0;
+        while journal.has_room(200) {
+            taken += 1;
+            journal.append(taken, &accepted(200)).unwrap();
+        }
+        assert!(!journal.give_up_room(ROOM / 2));
+        (1..=taken - 1).for_each(|number| journal.append(number, &Record::Over).unwrap());
+        assert!(journal.give_up_room(ROOM / 2));
+        let on_disk = fs::metadata(&journal.path).unwrap().len();
+        assert!(on_disk + journal.live_bytes <= ROOM / 2, "{on_disk} bytes");
+        drop(journal);
+        assert_eq!(open(folder.path()).1.len(), 1);
+    }
+
     /// The old file and the new one of a compaction stand in the folder together: at any moment both must fit,
     /// also when all the room is taken by messages that use all their attempts.
     #[test]
--- a/src/bin/foldtrack/last_list.rs
+++ b/src/bin/foldtrack/last_list.rs
@@ -7,10 +7,19 @@
 use std::io;
 use std::path::{Path, PathBuf};
 
-/// Bytes of the file at most: some 200 endpoints. A longer list is not kept.
-const LONGEST: usize = 32 * 1024;
-/// What the folder that lasts has to leave free: the file stands beside the one that takes its place.
-pub(crate) const ROOM: u64 = 2 * LONGEST as u64;
+/// Bytes that are kept free for the file, whatever the list: some 200 endpoints.
+const LEAST: usize = 32 * 1024;
+
+/// What the folder that lasts has to leave free for a list of so many bytes that may grow by a quarter: the file stands
+/// beside the one that takes its place, each in whole 512 bytes.
+fn room_for(bytes: usize) -> u64 {
+    2 * (bytes + bytes / 4).max(LEAST).next_multiple_of(512) as u64
+}
+
+/// The same for a list to begin with.
+pub(crate) fn room(known: &ServerList) -> u64 {
+    room_for(serde_json::to_vec(known).map_or(0, |bytes| bytes.len()))
+}
 
 fn path(folder: &Path) -> PathBuf {
     folder.join("list")
@@ -32,33 +41,40 @@
 pub(crate) struct LastList {
     path: PathBuf,
     lines: BTreeMap<String, ServerLine>,
+    /// What the folder leaves free.
+    room: u64,
 }
 
 impl LastList {
     pub fn open(folder: &Path, known: &ServerList) -> LastList {
         let lines = newest(folder, known.clone()).servers.into_iter().map(|s| (s.id.clone(), s));
-        LastList { path: path(folder), lines: lines.collect() }
+        LastList { path: path(folder), lines: lines.collect(), room: room(known) }
     }
 
-    /// Takes in a list or the changes since the last, and writes what is listed now.
-    pub fn note(&mut self, list: &ServerList) {
+    /// Takes in a list or the changes since the last, and writes what is listed now. If it needs more room, it asks
+    /// for that: `more` says whether so many bytes more are left free from now on.
+    pub fn note(&mut self, list: &ServerList, more: impl FnOnce(u64) -> bool) {
         if list.full {
             self.lines.clear();
         }
         self.lines.extend(list.servers.iter().map(|s| (s.id.clone(), s.clone())));
         self.lines.retain(|_, s| s.state != ServerState::Left);
-        if let Err(error) = self.write(list.version) {
+        if let Err(error) = self.write(list.version, more) {
             // An older one would tell less than the configuration does.
             let _ = fs::remove_file(&self.path);
             eprintln!("discovery: the list is not kept over a restart: {error}");
         }
     }
 
-    fn write(&self, version: u64) -> io::Result<()> {
+    fn write(&mut self, version: u64, more: impl FnOnce(u64) -> bool) -> io::Result<()> {
         let list = ServerList { version, full: true, servers: self.lines.values().cloned().collect() };
         let bytes = serde_json::to_vec(&list).map_err(io::Error::other)?;
-        if bytes.len() > LONGEST {
-            return Err(io::Error::other(format!("{} bytes, {LONGEST} at most", bytes.len())));
+        let needed = room_for(bytes.len());
+        if 2 * bytes.len().next_multiple_of(512) as u64 > self.room {
+            if !more(needed - self.room) {
+                return Err(io::Error::other(format!("no room for {needed} bytes")));
+            }
+            self.room = needed;
         }
         let new = self.path.with_extension("new");
         fs::write(&new, bytes).and_then(|()| fs::rename(&new, &self.path))
@@ -84,9 +100,10 @@
         let ids =
             |list: &ServerList| list.servers.iter().map(|s| (s.id.clone(), s.state)).collect::<Vec<_>>();
         let known = list(3, true, vec![line("a", ServerState::Active), line("b", ServerState::Active)]);
-        LastList::open(folder.path(), &known).note(&list(4, false, vec![line("a", ServerState::Leaving)]));
+        let drained = list(4, false, vec![line("a", ServerState::Leaving)]);
+        LastList::open(folder.path(), &known).note(&drained, |_| false);
         let change = list(5, false, vec![line("b", ServerState::Left), line("c", ServerState::Active)]);
-        LastList::open(folder.path(), &known).note(&change);
+        LastList::open(folder.path(), &known).note(&change, |_| false);
         let kept = newest(folder.path(), known.clone());
         assert_eq!((kept.version, kept.full), (5, true));
         assert_eq!(ids(&kept), [("a".into(), ServerState::Leaving), ("c".into(), ServerState::Active)]);
@@ -99,8 +116,31 @@
     fn a_list_that_has_no_room_is_not_kept_at_all() {
         let folder = tempfile::tempdir().unwrap();
         let mut last = LastList::open(folder.path(), &ServerList::default());
-        last.note(&list(1, true, vec![line("a", ServerState::Active)]));
-        last.note(&list(2, false, (0..1000).map(|n| line(&n.to_string(), ServerState::Active)).collect()));
+        last.note(&list(1, true, vec![line("a", ServerState::Active)]), |_| false);
+        last.note(&many(2), |_| false);
         assert_eq!(newest(folder.path(), ServerList::default()).version, 0);
     }
+
+    fn many(version: u64) -> ServerList {
+        list(version, true, (0..1024).map(|n| line(&format!("s-{n:08x}"), ServerState::Leaving)).collect())
+    }
+
+    #[test]
+    fn a_list_of_a_thousand_endpoints_is_kept_in_the_room_it_asks_for() {
+        let folder = tempfile::tempdir().unwrap();
+        let mut last = LastList::open(folder.path(), &ServerList::default());
+        let mut room = last.room;
+        last.note(&many(1), |more| {
+            room += more;
+            true
+        });
+        let kept = newest(folder.path(), ServerList::default());
+        assert_eq!((kept.version, kept.servers.len()), (1, 1024));
+        let on_disk = fs::metadata(path(folder.path())).unwrap().len().next_multiple_of(512);
+        assert!(2 * on_disk <= room, "{on_disk} bytes beside those that take their place, in {room}");
+        // From the next start on the room is there from the first moment.
+        assert_eq!(super::room(&kept), room);
+        LastList::open(folder.path(), &kept).note(&many(2), |_| false);
+        assert_eq!(newest(folder.path(), ServerList::default()).version, 2);
+    }
 }
--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -327,7 +327,7 @@
         config: &Config, inputs: &Inputs, clock: Clock, brain: Brain,
     ) -> io::Result<(Node, BTreeMap<u64, Restored>)> {
         let settings = &config.settings.settings;
-        let room = config.disk_bytes.saturating_sub(out::ROOM + last_list::ROOM);
+        let room = config.disk_bytes.saturating_sub(out::ROOM + last_list::room(&config.known));
         let (journal, restored) = Journal::open(&config.state, room, settings.max_attempts)?;
         let discovery = watch::Sender::new(config.discovery);
         let conn_idle = Duration::from_micros(settings.connection_idle);
@@ -439,7 +439,7 @@
             Input::CallEnded(end) => self.call_ended(end),
             Input::List(list) => {
                 let kind = if list.full { ListKind::Full } else { ListKind::Delta };
-                self.last_list.note(&list);
+                self.last_list.note(&list, |more| self.journal.give_up_room(more));
                 self.list(list, kind);
             }
             Input::Reported { numbers } => self.reported(numbers),
