--- a/tests/forwarder/crossings.rs
+++ b/tests/forwarder/crossings.rs
@@ -231,6 +231,36 @@
     assert!(old.seen().is_empty(), "a drained target got a call");
 }
 
+/// Lists and fleets of over a thousand: start, change, restart while discovery is silent, hand-over, figures.
+#[test]
+fn a_thousand_endpoints_and_forwarders_are_no_limit() {
+    const MANY: u32 = 1024;
+    let (old, new) = (Server::start(|_| OK), Server::start(|_| OK));
+    let lines = |of_1: &[(&str, &Server, &str)]| {
+        let fixed = of_1.iter().map(|(id, server, state)| line(id, server.address, 1, state));
+        let rest = of_1.len() as u32..MANY;
+        fixed.chain(rest.map(|n| line(&format!("t-{n}"), new.address, n + 1, "active"))).collect::<Vec<_>>()
+    };
+    let platform = Platform::start(lines(&[("s-1", &old, "active")]));
+    let mut forwarder = Forwarder::start_with(&platform, |c| c["settings"]["balancers"] = MANY.into());
+    let listed = |forwarder: &Forwarder| crate::door::figure_at(forwarder, "pool_size");
+    eventually("all endpoints", || listed(&forwarder) == u64::from(MANY));
+    platform.change(lines(&[("s-1", &old, "leaving"), ("s-2", &new, "active")]));
+    eventually("the list is told", || platform.has_told());
+    platform.server.behave(|_| Reply::Silence);
+    forwarder.kill();
+    forwarder.start_again();
+    assert_eq!(listed(&forwarder), u64::from(MANY));
+    assert_eq!(forwarder.hand_in(&fee("m1")), 202);
+    eventually("the call", || !old.seen().is_empty() || !new.seen().is_empty());
+    let mut previous = forwarder.upgrade();
+    previous.wait();
+    assert_eq!(listed(&forwarder), u64::from(MANY));
+    assert_eq!(forwarder.hand_in(&fee("m2")), 202);
+    eventually("the call", || new.ids() == ["m1", "m2"]);
+    assert!(old.seen().is_empty(), "a drained target got a call");
+}
+
 /// Clients that send much and go, and answers that never end, leave no descriptor behind.
 #[test]
 fn what_bad_peers_held_is_free_again() {
