Serve a class that gets far less than all before worth counts

At fault: best_send takes strictly the greater worth, so that where another class always waits at a limit one of little worth gets nothing.

At twice the limit, what is worth more gives up as much as that part takes.

Ruled out: make_room (the test has room), found messages (none).

Test: tests/failures.rs. A successor with other classes sizes the counts anew.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -42,6 +42,8 @@
 const RATE_SPAN: f64 = UPKEEP as f64 / SECOND / (1.0 - RATE_KEEP);
 /// Part of the time left to what a restart found by which a call for it is saved up; the rest is the call's.
 const FOUND_WITHIN: f64 = 0.75;
+/// Part of what all classes are served that is each one's before worth counts.
+const LEAST_SERVED: f64 = 0.6;
 /// Part of the room for held messages that is kept free.
 const KEEP_FREE: f64 = 0.05;
 /// Unanswered call time, in mean answer times, that makes silence unlikely to be chance.
@@ -186,6 +188,8 @@
     pub(crate) taken_out: BTreeSet<TargetId>,
     /// When to look at a message again: its time is up, or its key has rested.
     agenda: BTreeSet<(Micros, MessageId)>,
+    /// By class, fading: messages that came, and those delivered.
+    pub(crate) came: Vec<f64>, pub(crate) delivered: Vec<f64>,
     upkeep_at: Micros, span: f64, spread: f64, wake_at: Micros, armed: Micros,
     calls_out: u32, next_call: u64, blocked: bool, stopping: Option<Micros>, list_version: u32, logged: u32,
 }
@@ -196,7 +200,9 @@
         // Seeds that lie near each other have to give numbers that do not, from the first on.
         let seed = fastrand::Rng::with_seed(seed).u64(1..);
         let (upkeep_at, armed) = (now + UPKEEP, Micros::MAX);
-        let fresh = Brain { s: settings, seed, now, upkeep_at, armed, ..Brain::default() };
+        let none = vec![0.0; settings.classes.len()];
+        let (came, delivered) = (none.clone(), none);
+        let fresh = Brain { s: settings, seed, now, upkeep_at, armed, came, delivered, ..Brain::default() };
         Brain { spread: fresh.even().min(fresh.least_aim()), ..fresh }
     }
 
@@ -337,6 +343,7 @@
             return self.out.push(Action::Refuse { id, retry_after: 0 });
         };
         m.born = expires.saturating_sub(c.deadline);
+        self.came[m.class] += 1.0;
         m.order_key *= u64::from(c.in_order);
         let order_key = m.order_key;
         self.messages.insert(id, m);
@@ -536,6 +543,7 @@
             }
         }
         let Some(m) = self.messages.get(&id) else { return };
+        self.delivered[m.class] += f64::from(u8::from(outcome == Outcome::Ok));
         if ended || m.over || outcome == Outcome::Ok {
             self.finish(id);
         } else if m.attempts.iter().all(|a| a.done.is_some()) {
@@ -818,6 +826,13 @@
         Some((first + self.value(class, age) + 1e-6 * age / aim.max(1) as f64, *id))
     }
 
+    /// Whether a class is served far less well than all are. By worth alone one of little worth would get
+    /// nothing where another always waits. Harms what is worth more, by no more than that part.
+    fn is_behind(&self, class: usize) -> bool {
+        let (came, delivered) = (self.came.iter().sum::<f64>(), self.delivered.iter().sum::<f64>());
+        self.delivered[class] * came < LEAST_SERVED * delivered * self.came[class]
+    }
+
     /// The best endpoint of a lane: not one that failed, few calls in flight, used lately.
     fn endpoint(&self, lane: usize, zone: Option<u32>) -> Option<TargetId> {
         let l = &self.lanes[lane];
@@ -857,6 +872,7 @@
         let healthy = d.lanes.iter().filter(usable);
         let least_fee = healthy.map(|l| fee_of(*l)).fold(f64::INFINITY, f64::min);
         let worth = self.s.classes.iter().map(|c| c.worth).sum::<f64>() / self.s.classes.len() as f64;
+        let most_worth = self.s.classes.iter().map(|c| c.worth).fold(0.0, f64::max);
         let mut best: Option<Pick> = None;
         for (queue, set) in &d.ready {
             let (class, bound, _) = queue;
@@ -889,7 +905,8 @@
             }
             if let Some((_, lane, target, trial)) = choice {
                 let last = if trial && unsafe_now { self.s.classes[*class].worth } else { 0.0 };
-                let rank = worth_now - last;
+                let first = if self.is_behind(*class) { most_worth } else { 0.0 };
+                let rank = first + worth_now - last;
                 if best.is_none_or(|b| rank > b.0) {
                     best = Some((rank, id, lane, target, trial));
                 }
@@ -1021,6 +1038,7 @@
         self.turns.retain(|_, (line, rest)| !line.is_empty() || *rest > self.now);
         let keep = 0.5f64.powf(UPKEEP as f64 / self.longest_deadline());
         self.span = self.span * keep + UPKEEP as f64 / SECOND;
+        self.came.iter_mut().chain(&mut self.delivered).for_each(|n| *n *= keep);
         for lane in 0..self.lanes.len() {
             let l = &mut self.lanes[lane];
             l.times.age(keep);
--- a/src/handover.rs
+++ b/src/handover.rs
@@ -17,6 +17,9 @@
     /// Goes on where another process stopped. Times go on with its clock.
     pub fn take_over(bytes: &[u8], settings: Settings) -> Result<Brain, postcard::Error> {
         let mut brain: Brain = postcard::from_bytes(bytes)?;
+        // They may have other classes than those of the process before.
+        brain.came.resize(settings.classes.len(), 0.0);
+        brain.delivered.resize(settings.classes.len(), 0.0);
         brain.s = settings;
         Ok(brain)
     }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -510,3 +510,27 @@
     assert_eq!(differ.map(|at| (&alone[at], &handed_over[at])), None);
     assert_eq!(alone.len(), handed_over.len());
 }
+
+/// Found on split+mass of a deployment with a class of a tenth of the other's worth: where both wait at a limit the one of
+/// little worth got nothing.
+#[test]
+fn a_class_of_little_worth_is_not_served_far_less_than_all() {
+    let high = Class { worth: 4.0, ..class(Effect::Repeatable) };
+    let low = Class { worth: 0.4, aim: 700 * MS, deadline: 2500 * MS, ..class(Effect::Repeatable) };
+    let s = Settings { listed_rate: ListedRate::Exact, senders: 1, ..settings(vec![high, low]) };
+    let mut field = Field::new(s, vec![Endpoint { rate: 20.0, ..endpoint(1, 1) }]);
+    // Twice what the limit takes, a quarter of it of little worth.
+    let mut sent = [Vec::new(), Vec::new()];
+    for _ in 0..300 {
+        for class in [0, 0, 0, 1] {
+            sent[class].push(field.request(class, 1, 0));
+        }
+        field.run(100 * MS, serves(80 * MS));
+    }
+    let served = |ids: &[MessageId]| ids.iter().filter(|id| field.mail[id].served).count() as f64;
+    let share = |ids: &[MessageId]| served(ids) / ids.len() as f64;
+    let [high, low] = [share(&sent[0]), share(&sent[1])];
+    assert!(low > 0.4 * high, "{low} of the class of little worth, {high} of the other");
+    assert!(high > low, "{low} of the class of little worth, {high} of the other");
+    field.kept();
+}
