Split the decision module into files by job and give its parts standard names

It is now src/policy/, a file for each job: list, messages, outcomes, rates, selection, sending, exclusions, state transfer. Brain is DeliveryPolicy, a lane a route, a gate a circuit breaker (closed, open, slow start), a trial a half-open probe. The histogram of answer times holds no decision and stands beside it.

--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -19,7 +19,9 @@
 use crate::turnstile::Turnstile;
 use crate::upgrade::{self, Lock, Start};
 use hatchline::settings::Parsed;
-use hatchline::{Action, Brain, Endpoint, EndpointState, Event, ListKind, Micros, Outcome, TargetId};
+use hatchline::{
+    Action, DeliveryPolicy, Endpoint, EndpointState, Event, ListKind, Micros, Outcome, TargetId,
+};
 use hyper::StatusCode;
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -207,7 +209,7 @@
 
 struct Node {
     clock: Clock,
-    brain: Brain,
+    policy: DeliveryPolicy,
     settings: Arc<Parsed>,
     journal: Journal,
     inputs: Inputs,
@@ -324,7 +326,7 @@
 
 impl Node {
     fn new(
-        config: &Config, inputs: &Inputs, clock: Clock, brain: Brain,
+        config: &Config, inputs: &Inputs, clock: Clock, policy: DeliveryPolicy,
     ) -> io::Result<(Node, BTreeMap<u64, Restored>)> {
         let settings = &config.settings.settings;
         let room = config.disk_bytes.saturating_sub(out::ROOM + last_list::room(&config.known));
@@ -333,7 +335,7 @@
         let conn_idle = Duration::from_micros(settings.connection_idle);
         let node = Node {
             clock,
-            brain,
+            policy,
             settings: config.settings.clone(),
             journal,
             inputs: inputs.clone(),
@@ -371,8 +373,8 @@
     /// Goes on from what the journal holds.
     fn restored(config: &Config, inputs: &Inputs, lock: Lock) -> io::Result<Node> {
         let clock = Clock::new();
-        let brain = Brain::new(clock.now(), config.seed, config.settings.settings.clone());
-        let (mut node, restored) = Node::new(config, inputs, clock, brain)?;
+        let policy = DeliveryPolicy::new(clock.now(), config.seed, config.settings.settings.clone());
+        let (mut node, restored) = Node::new(config, inputs, clock, policy)?;
         node.lock = Some(lock);
         node.list(config.known.clone(), ListKind::Cached);
         node.untried = Untried::before(node.next_number, clock.now());
@@ -397,7 +399,7 @@
             self.timers.pop_first();
             self.handle(Event::Timer { token });
         }
-        self.brain.decide(self.clock.now(), &mut self.actions);
+        self.policy.decide(self.clock.now(), &mut self.actions);
         for action in std::mem::take(&mut self.actions) {
             self.carry_out(action);
         }
@@ -425,7 +427,7 @@
     }
 
     fn handle(&mut self, event: Event) {
-        self.brain.handle(self.clock.now(), event, &mut self.actions);
+        self.policy.handle(self.clock.now(), event, &mut self.actions);
     }
 
     fn take_in(&mut self, input: Input) {
@@ -444,7 +446,7 @@
             }
             Input::Reported { numbers } => self.reported(numbers),
             Input::Connected { number, attempt, target, go } => {
-                let may_go = self.brain.may_go(self.clock.now(), number, target);
+                let may_go = self.policy.may_go(self.clock.now(), number, target);
                 let _ = go.send(may_go && self.begin(number, attempt));
             }
             Input::Written { class } => self.figures.tried(class),
@@ -509,7 +511,7 @@
         match ask {
             Ask::Ready if serving => (StatusCode::OK, "ready\n".into()),
             Ask::Ready => (StatusCode::SERVICE_UNAVAILABLE, "clients are not taken\n".into()),
-            Ask::Figures => (StatusCode::OK, self.figures.text(self.messages.len(), self.brain.pool())),
+            Ask::Figures => (StatusCode::OK, self.figures.text(self.messages.len(), self.policy.pool())),
             Ask::Disable(name) => self.by_hand(&name, true),
             Ask::Enable(name) => self.by_hand(&name, false),
         }
@@ -519,7 +521,7 @@
     fn by_hand(&mut self, name: &str, out: bool) -> Told {
         let target = self.target_ids.get(name).copied();
         let was_out = self.taken_out.contains(name);
-        if !was_out && !target.is_some_and(|target| self.brain.lists(target)) {
+        if !was_out && !target.is_some_and(|target| self.policy.lists(target)) {
             return (StatusCode::NOT_FOUND, "no such endpoint\n".into());
         }
         if let Err(error) = self.taken_out.note(name, out) {
@@ -583,7 +585,7 @@
         if full || !self.journal.has_room(message.size()) {
             self.tally.refused += 1;
             self.figures.ended(message.class, Ended::Shed);
-            let retry_in_ms = self.brain.advice(message.destination).div_ceil(1000);
+            let retry_in_ms = self.policy.advice(message.destination).div_ceil(1000);
             let _ = reply.send(Answer::Refused { retry_in_ms });
             return;
         }
--- a/src/bin/foldtrack/node/succession.rs
+++ b/src/bin/foldtrack/node/succession.rs
@@ -8,7 +8,7 @@
 use crate::node::Inputs;
 use crate::relay::{LeftCall, Predecessor, Remainder};
 use crate::upgrade::{self, Estate, HeldState, Offer};
-use hatchline::{Brain, Event, TargetId};
+use hatchline::{DeliveryPolicy, Event, TargetId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::TcpListener as StdListener;
@@ -22,9 +22,9 @@
         config: &Config, inputs: &Inputs, offer: Offer,
     ) -> io::Result<(Node, StdListener)> {
         let settings = config.settings.settings.clone();
-        let brain = Brain::take_over(&offer.estate.brain, settings).map_err(io::Error::other)?;
+        let policy = DeliveryPolicy::take_over(&offer.estate.policy, settings).map_err(io::Error::other)?;
         let clock = Clock::continuing(offer.estate.now, offer.estate.unix);
-        let (mut node, restored) = Node::new(config, inputs, clock, brain)?;
+        let (mut node, restored) = Node::new(config, inputs, clock, policy)?;
         let (estate, lock, listener, stream) = offer.accept()?;
         node.lock = Some(lock);
         let reserved = node.places.reserve(estate.clients);
@@ -96,7 +96,7 @@
         let estate = Estate {
             now,
             unix: self.clock.unix(now),
-            brain: self.brain.hand_over().map_err(io::Error::other)?,
+            policy: self.policy.hand_over().map_err(io::Error::other)?,
             next_number: self.next_number,
             messages: self.messages.iter().map(held).collect(),
             calls: self
@@ -117,7 +117,7 @@
         Remainder {
             calls: self.calls.into_iter().map(|(call, out)| (call, out.cancel)).collect(),
             figures: self.figures,
-            pool: self.brain.pool(),
+            pool: self.policy.pool(),
             inputs: self.inputs,
             settings: self.settings,
             clock: self.clock,
--- a/src/bin/foldtrack/upgrade.rs
+++ b/src/bin/foldtrack/upgrade.rs
@@ -73,7 +73,7 @@
     /// The owner's clock, and the time of day that it was then.
     pub now: Micros,
     pub unix: Micros,
-    pub brain: Vec<u8>,
+    pub policy: Vec<u8>,
     pub next_number: u64,
     pub messages: Vec<HeldState>,
     /// Calls that stay with the old process.
--- a/src/bin/hatchline-adapter/host.rs
+++ b/src/bin/hatchline-adapter/host.rs
@@ -2,12 +2,12 @@
 
 use crate::wire::{Batch, Entry, Input, Malformed, Output, Reply};
 use hatchline::settings::Parsed;
-use hatchline::{Action, Brain, Endpoint, EndpointState, Event, LimitReport, ListKind, Outcome};
+use hatchline::{Action, DeliveryPolicy, Endpoint, EndpointState, Event, LimitReport, ListKind, Outcome};
 use std::collections::BTreeMap;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
 struct Instance {
-    brain: Brain,
+    policy: DeliveryPolicy,
     share_left_at: Option<usize>,
     rate_at: Option<usize>,
 }
@@ -77,10 +77,10 @@
                 Input::Born { i, salt, env } => {
                     let Parsed { settings, share_left_at, rate_at, .. } = serde_json::from_slice(&env)
                         .map_err(|e| Malformed(format!("the settings of instance {i} do not parse: {e}")))?;
-                    let brain = guarded(i, &mut reply, || Brain::new(clock, salt, settings));
+                    let policy = guarded(i, &mut reply, || DeliveryPolicy::new(clock, salt, settings));
                     touched.insert(i, Vec::new());
-                    if let Some(brain) = brain {
-                        self.instances.insert(i, Instance { brain, share_left_at, rate_at });
+                    if let Some(policy) = policy {
+                        self.instances.insert(i, Instance { policy, share_left_at, rate_at });
                     }
                     continue;
                 }
@@ -90,13 +90,13 @@
                 continue;
             };
             let actions = touched.entry(i).or_default();
-            guarded(i, &mut reply, || instance.brain.handle(clock, event, actions));
+            guarded(i, &mut reply, || instance.policy.handle(clock, event, actions));
         }
         for (i, mut actions) in touched {
             let Some(instance) = self.instances.get_mut(&i) else {
                 continue;
             };
-            guarded(i, &mut reply, || instance.brain.decide(clock, &mut actions));
+            guarded(i, &mut reply, || instance.policy.decide(clock, &mut actions));
             for action in actions {
                 reply.push(&record(i, action));
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,6 +1,6 @@
 //! What goes into the decision module and what comes out: settings, events, actions.
 //!
-//! A forwarder that embeds [`crate::Brain`] does this in a loop: pass each thing that happened to
+//! A forwarder that embeds [`crate::DeliveryPolicy`] does this in a loop: pass each thing that happened to
 //! `handle`, call `decide` after the last one of that moment, carry out the actions in their order.
 //! All times are microseconds of one clock that only advances; it may start anywhere.
 
--- a/src/handover.rs
+++ b/src/policy/state_transfer.rs
@@ -1,13 +1,13 @@
 //! What one process hands to the next while calls are out: part of the decisions.
 
-use crate::brain::Brain;
+use super::DeliveryPolicy;
 use crate::interface::Settings;
 
 /// Raised whenever the meaning or the layout of what goes along changes.
 pub const FORMAT: u32 = 3;
 
-impl Brain {
-    /// All that this sender knows goes along: its messages and calls, told waits, cold destinations, what is
+impl DeliveryPolicy {
+    /// All that this replica knows goes along: its messages and calls, told waits, cold destinations, what is
     /// out by hand, and what it has learned of answer times and rates. A successor that began anew would push
     /// over what is cold and call what is to rest. The settings stay: the successor has its own.
     pub fn hand_over(&self) -> Result<Vec<u8>, postcard::Error> {
@@ -15,12 +15,12 @@
     }
 
     /// Goes on where another process stopped. Times go on with its clock.
-    pub fn take_over(bytes: &[u8], settings: Settings) -> Result<Brain, postcard::Error> {
-        let mut brain: Brain = postcard::from_bytes(bytes)?;
+    pub fn take_over(bytes: &[u8], settings: Settings) -> Result<DeliveryPolicy, postcard::Error> {
+        let mut policy: DeliveryPolicy = postcard::from_bytes(bytes)?;
         // They may have other classes than those of the process before.
-        brain.came.resize(settings.classes.len(), 0.0);
-        brain.delivered.resize(settings.classes.len(), 0.0);
-        brain.s = settings;
-        Ok(brain)
+        policy.arrived.resize(settings.classes.len(), 0.0);
+        policy.delivered.resize(settings.classes.len(), 0.0);
+        policy.settings = settings;
+        Ok(policy)
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,19 +1,30 @@
 //! What the decision module remembers: plain state, no decisions.
 
-use crate::brain::AnswerTimes;
 use crate::interface::*;
+use crate::policy::AnswerTimes;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Circuit state of a destination or of a route apart.
 #[derive(Clone, Copy, Debug, PartialEq, Default, Serialize, Deserialize)]
-pub(crate) enum Gate {
+pub(crate) enum CircuitBreaker {
+    /// Calls go as windows and limits let them.
     #[default]
-    Open,
-    /// Single trials, the next not before `next`, spaced by a backoff.
-    Out { next: Micros, backoff: f64 },
+    Closed,
+    /// Single half-open probes, the next not before `next`, spaced by a backoff.
+    Open { next: Micros, backoff: f64 },
     /// Slow start since the first answer.
-    Ramp { since: Micros },
+    SlowStart { since: Micros },
+}
+
+impl CircuitBreaker {
+    pub fn is_open(self) -> bool {
+        matches!(self, CircuitBreaker::Open { .. })
+    }
+
+    pub fn is_slow_start(self) -> bool {
+        matches!(self, CircuitBreaker::SlowStart { .. })
+    }
 }
 
 /// A call in flight, with its messages and their attempts.
@@ -22,13 +33,13 @@
     pub messages: Vec<(MessageId, u32)>,
     pub target: TargetId,
     pub sent: Micros,
-    pub trial: bool,
+    pub half_open: bool,
     pub given_up: bool,
 }
 
-/// A destination's shared way, or one route apart: what has its own limit, pace and outages.
+/// A destination's shared way, or one route apart: what has its own limit, rate limit and outages.
 #[derive(Debug, Default, Serialize, Deserialize)]
-pub(crate) struct Lane {
+pub(crate) struct Route {
     pub targets: Vec<TargetId>,
     pub kind: usize,
     pub times: AnswerTimes,
@@ -37,14 +48,14 @@
     pub window: f64,
     pub halved: Micros,
     pub calls: BTreeMap<u64, Call>,
-    pub gate: Gate,
+    pub breaker: CircuitBreaker,
     pub last_ok: Micros,
     /// The last end of a call.
     pub judged: Micros,
     /// Start of the trouble since the last answer.
     pub trouble: Option<Micros>,
     /// Refusals in a row.
-    pub full_run: u32,
+    pub refusals_in_a_row: u32,
     /// Smoothed share of failures.
     pub failing: f64,
     /// What failed last may have run.
@@ -54,7 +65,7 @@
     /// The known limit in calls a second, 0 if not known.
     pub limit: f64,
     /// Own calls a second, 0 if not limited.
-    pub pace: f64,
+    pub rate_limit: f64,
     pub tokens: f64,
     pub filled: Micros,
     /// Calls served a second, smoothed over some seconds.
@@ -62,13 +73,13 @@
     /// Price of a message on a route apart.
     pub fee: f64,
     /// Messages that came for it, fading.
-    pub heat: f64,
+    pub recent_requests: f64,
 }
 
-impl Lane {
+impl Route {
     /// When the next call may go at the earliest.
     pub fn opens_at(&self) -> Micros {
-        let next = if let Gate::Out { next, .. } = self.gate { next } else { 0 };
+        let next = if let CircuitBreaker::Open { next, .. } = self.breaker { next } else { 0 };
         next.max(self.wait_until)
     }
 }
@@ -76,7 +87,7 @@
 /// An endpoint.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Target {
-    pub lane: usize,
+    pub route: usize,
     pub zone: u32,
     pub state: EndpointState,
     pub last_used: Micros,
@@ -102,7 +113,7 @@
 /// A destination and what is held for it.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Destination {
-    pub lanes: Vec<usize>,
+    pub routes: Vec<usize>,
     /// Messages ready to go, oldest first.
     pub ready: BTreeMap<Queue, BTreeSet<(Micros, MessageId)>>,
 }
@@ -156,7 +167,7 @@
 }
 
 /// The messages of an order key, as they came, and until when the key rests.
-pub(crate) type Turns = (VecDeque<MessageId>, Micros);
+pub(crate) type OrderQueue = (VecDeque<MessageId>, Micros);
 
-/// A send that could be made: its worth, message, lane and endpoint, and whether it is a trial.
+/// A send that could be made: its worth, message, route and endpoint, and whether it is a half-open probe.
 pub(crate) type Pick = (f64, MessageId, usize, TargetId, bool);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -32,7 +32,7 @@
 pub struct Field {
     pub now: u64,
     pub settings: Settings,
-    pub brain: Brain,
+    pub policy: DeliveryPolicy,
     pub mail: BTreeMap<MessageId, Mail>,
     pub order: BTreeMap<u64, Vec<MessageId>>,
     pub rests: BTreeMap<u64, u64>,
@@ -96,7 +96,7 @@
         let now = 5 * S;
         let mut field = Field {
             now,
-            brain: Brain::new(now, 7, settings.clone()),
+            policy: DeliveryPolicy::new(now, 7, settings.clone()),
             settings,
             mail: BTreeMap::new(),
             order: BTreeMap::new(),
@@ -202,8 +202,8 @@
     /// Passes one event in, lets the module decide, and carries out and checks what it says.
     pub fn feed(&mut self, event: Event) {
         let mut actions = Vec::new();
-        self.brain.handle(self.now, event, &mut actions);
-        self.brain.decide(self.now, &mut actions);
+        self.policy.handle(self.now, event, &mut actions);
+        self.policy.decide(self.now, &mut actions);
         for action in actions {
             self.trace.push((self.now, action.clone()));
             self.carry_out(action);
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -18,7 +18,7 @@
 struct Crowd {
     now: u64,
     places: usize,
-    senders: Vec<Brain>,
+    senders: Vec<DeliveryPolicy>,
     attempts: Vec<u32>,
     out: Vec<Out>,
     /// Idle connections of each sender: since when.
@@ -42,7 +42,9 @@
         let mut crowd = Crowd {
             now: 5 * S,
             places,
-            senders: (0..senders).map(|n| Brain::new(5 * S, n as u64 * 7919 + 1, settings.clone())).collect(),
+            senders: (0..senders)
+                .map(|n| DeliveryPolicy::new(5 * S, n as u64 * 7919 + 1, settings.clone()))
+                .collect(),
             attempts: Vec::new(),
             out: Vec::new(),
             idle: vec![Vec::new(); senders],
@@ -50,9 +52,9 @@
             opened: 0,
             served: 0,
         };
-        for brain in &mut crowd.senders {
+        for policy in &mut crowd.senders {
             let list = Event::List { kind: ListKind::Full, version: 1, endpoints: vec![endpoint(1, 1)] };
-            brain.handle(crowd.now, list, &mut Vec::new());
+            policy.handle(crowd.now, list, &mut Vec::new());
         }
         crowd
     }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -172,20 +172,20 @@
 fn a_call_whose_connection_was_late_goes_by_what_was_told_meanwhile() {
     let mut f = Field::new(settings(vec![class(Effect::Keyed)]), vec![endpoint(1, 1), endpoint(2, 1)]);
     let id = f.request(0, 1, 0);
-    assert!(f.brain.may_go(f.now, id, 1) && f.brain.may_go(f.now, id, 2));
-    assert!(!f.brain.may_go(f.now, id, 3) && !f.brain.may_go(f.now, id + 1, 1));
+    assert!(f.policy.may_go(f.now, id, 1) && f.policy.may_go(f.now, id, 2));
+    assert!(!f.policy.may_go(f.now, id, 3) && !f.policy.may_go(f.now, id + 1, 1));
     let draining = Endpoint { state: EndpointState::Draining, ..endpoint(1, 1) };
     f.list(ListKind::Delta, vec![draining]);
-    assert!(!f.brain.may_go(f.now, id, 1) && f.brain.may_go(f.now, id, 2));
+    assert!(!f.policy.may_go(f.now, id, 1) && f.policy.may_go(f.now, id, 2));
     let begun = f.now;
     f.now += S;
     f.end(id, 0, Outcome::Reset, 300 * MS);
-    assert!(!f.brain.may_go(f.now + 290 * MS, id, 2));
-    assert!(f.brain.may_go(begun + 9_900 * MS, id, 2));
+    assert!(!f.policy.may_go(f.now + 290 * MS, id, 2));
+    assert!(f.policy.may_go(begun + 9_900 * MS, id, 2));
     // It may have run, and its window of 10 s is over.
-    assert!(!f.brain.may_go(begun + 10 * S, id, 2));
+    assert!(!f.policy.may_go(begun + 10 * S, id, 2));
     f.feed(Event::ByHand { target: 2, out: true });
-    assert!(!f.brain.may_go(begun + 9_900 * MS, id, 2));
+    assert!(!f.policy.may_go(begun + 9_900 * MS, id, 2));
 }
 
 #[test]
@@ -193,12 +193,12 @@
     let mut field = warmed(settings(vec![class(Effect::Repeatable)]), vec![endpoint(1, 1)], 0);
     let (id, expires) = (9_000, field.now + 30 * MS);
     let mut out = Vec::new();
-    field.brain.handle(
+    field.policy.handle(
         field.now,
         Event::Request { id, class: 0, destination: 1, order_key: 0, expires },
         &mut out,
     );
-    field.brain.decide(field.now, &mut out);
+    field.policy.decide(field.now, &mut out);
     assert!(out.contains(&Action::Refuse { id, retry_after: 0 }), "{out:?}");
     assert!(!out.iter().any(|a| matches!(a, Action::Send { .. })));
 }
@@ -364,8 +364,8 @@
         Event::Request { id: 78, class: 9, destination: 1, order_key: 0, expires: u64::MAX },
         Event::List { kind: ListKind::Failed, version: 0, endpoints: vec![] },
     ] {
-        field.brain.handle(field.now, event, &mut out);
-        field.brain.decide(field.now, &mut out);
+        field.policy.handle(field.now, event, &mut out);
+        field.policy.decide(field.now, &mut out);
     }
     assert!(!out.iter().any(|a| matches!(a, Action::Send { .. })), "{out:?}");
 }
@@ -459,7 +459,7 @@
     field.list(ListKind::Full, vec![endpoint(1, 1), endpoint(2, 1)]);
     let (sent, all) = traffic(&mut field, 5 * S);
     assert!(sent == 0 && all > 50, "{sent} of {all} calls while it was out");
-    assert_eq!(field.brain.pool(), Pool { listed: 2, avoided: 1 });
+    assert_eq!(field.policy.pool(), Pool { listed: 2, avoided: 1 });
     field.feed(Event::ByHand { target: 1, out: false });
     let (cold, all) = traffic(&mut field, 2 * S);
     assert!(cold > 0 && cold * 4 < all, "{cold} of {all} calls while it was cold");
@@ -496,8 +496,8 @@
                 field.feed(Event::ByHand { target: 5, out: true });
             }
             if handover && round % 5 == 0 {
-                let left = field.brain.hand_over().unwrap();
-                field.brain = Brain::take_over(&left, field.settings.clone()).unwrap();
+                let left = field.policy.hand_over().unwrap();
+                field.policy = DeliveryPolicy::take_over(&left, field.settings.clone()).unwrap();
             }
         }
         field.run(5 * S, answer);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -13,7 +13,7 @@
 /// Senders of one fleet, each with its own seed, that have one destination.
 struct Fleet {
     now: u64,
-    senders: Vec<Brain>,
+    senders: Vec<DeliveryPolicy>,
     /// Calls out: sender, message, attempt, time of the send.
     calls: Vec<(usize, MessageId, u32, u64)>,
     attempts: Vec<u32>,
@@ -34,7 +34,7 @@
             ..settings(vec![class])
         };
         let now = 5 * S;
-        let born = |n: u32| Brain::new(now, u64::from(n) * 7919 + 1, settings.clone());
+        let born = |n: u32| DeliveryPolicy::new(now, u64::from(n) * 7919 + 1, settings.clone());
         let senders = (0..senders).map(born).collect();
         let endpoints = vec![Endpoint { rate: limit, ..endpoint(1, 1) }];
         let (calls, attempts) = (Vec::new(), Vec::new());
@@ -45,8 +45,8 @@
     }
 
     fn tell(&mut self, event: impl Fn(usize) -> Event) {
-        for (n, brain) in self.senders.iter_mut().enumerate() {
-            brain.handle(self.now, event(n), &mut Vec::new());
+        for (n, policy) in self.senders.iter_mut().enumerate() {
+            policy.handle(self.now, event(n), &mut Vec::new());
         }
     }
 
@@ -64,19 +64,19 @@
     /// A sender dies and comes back with nothing but the list.
     fn restart(&mut self, sender: usize) {
         self.calls.retain(|c| c.0 != sender);
-        let mut brain = Brain::new(self.now, self.now + sender as u64, self.settings.clone());
+        let mut policy = DeliveryPolicy::new(self.now, self.now + sender as u64, self.settings.clone());
         let list = Event::List { kind: ListKind::Full, version: 1, endpoints: self.endpoints.clone() };
-        brain.handle(self.now, list, &mut Vec::new());
-        self.senders[sender] = brain;
+        policy.handle(self.now, list, &mut Vec::new());
+        self.senders[sender] = policy;
     }
 
     /// Lets all senders decide once, and gives how many calls they make.
     fn round(&mut self) -> usize {
         self.now += ROUND;
         let before = self.calls.len();
-        for (n, brain) in self.senders.iter_mut().enumerate() {
+        for (n, policy) in self.senders.iter_mut().enumerate() {
             let mut actions = Vec::new();
-            brain.decide(self.now, &mut actions);
+            policy.decide(self.now, &mut actions);
             for action in actions {
                 if let Action::Send { id, .. } = action {
                     let attempt = &mut self.attempts[id as usize];
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -8,7 +8,7 @@
 
 /// A module that has just come up with one endpoint of destination 1, and what it says and sends.
 struct Restart {
-    brain: Brain,
+    policy: DeliveryPolicy,
     now: u64,
     out: Vec<Action>,
     sent: BTreeMap<MessageId, u64>,
@@ -26,16 +26,16 @@
 
     fn of_seed(seed: u64, settings: Settings, limit: f64) -> Restart {
         let now = 50 * S;
-        let brain = Brain::new(now, seed, Settings { listed_rate: ListedRate::Exact, ..settings });
+        let policy = DeliveryPolicy::new(now, seed, Settings { listed_rate: ListedRate::Exact, ..settings });
         let (out, sent, ended, calls) = (Vec::new(), BTreeMap::new(), Vec::new(), Vec::new());
-        let mut restart = Restart { brain, now, out, sent, ended, tried: Vec::new(), calls };
+        let mut restart = Restart { policy, now, out, sent, ended, tried: Vec::new(), calls };
         let endpoints = vec![Endpoint { rate: limit, ..endpoint(1, 1) }];
         restart.tell(Event::List { kind: ListKind::Cached, version: 1, endpoints });
         restart
     }
 
     fn tell(&mut self, event: Event) {
-        self.brain.handle(self.now, event, &mut self.out);
+        self.policy.handle(self.now, event, &mut self.out);
     }
 
     fn find(&mut self, id: MessageId, left: u64, order_key: u64, first_run: Option<(u64, u32)>) {
@@ -68,7 +68,7 @@
                 });
             }
             self.tell(Event::Timer { token: 0 });
-            self.brain.decide(self.now, &mut self.out);
+            self.policy.decide(self.now, &mut self.out);
             for action in std::mem::take(&mut self.out) {
                 match action {
                     Action::Send { id, .. } => {
@@ -159,17 +159,17 @@
     let end = |late: u64| {
         let (mut out, id) = (Vec::new(), 1 + late);
         let expires = restart.now + S;
-        restart.brain.handle(
+        restart.policy.handle(
             restart.now,
             Event::Request { id, class: 0, destination: 1, order_key: 0, expires },
             &mut out,
         );
-        restart.brain.decide(restart.now, &mut out);
+        restart.policy.decide(restart.now, &mut out);
         restart.now = expires - 1 + late;
         let outcome = Outcome::TimedOut;
         let (attempt, target, took, ended, wait, report) = (0, 1, S, false, 0, None);
         let event = Event::Outcome { id, attempt, target, outcome, took, ended, wait, report };
-        restart.brain.handle(restart.now, event, &mut out);
+        restart.policy.handle(restart.now, event, &mut out);
         out.iter().any(|a| matches!(a, Action::Refuse { id: over, .. } if *over == id))
     };
     assert_eq!([0, 1, 500].map(end), [true, false, false]);
