Add an experiment tool, with the cost of the delivery policy by size

Cause: what a request, periodic maintenance and memory cost as the destinations and the held messages grow had no tool; figures came from whole deployments.

Change: a workspace member `scale` with the subcommand `policy`. It drives the policy through its public interface on a virtual clock, each run in a process of its own, and reports median and spread over the runs and least-squares slopes, as tables and as JSON records. Scenario errors are told by file, line and key. Its dependencies are none of the forwarder's. test.sh checks and tests all members; the release build stays that of the root package.

--- /dev/null
+++ b/scale/src/policy/experiment.rs
@@ -0,0 +1,166 @@
+//! The experiment: plays the points, prints the tables and writes the records.
+
+use crate::error::ScaleError;
+use crate::interrupt::Interrupt;
+use crate::memory::machine_bytes;
+use crate::policy::arguments::PolicyArguments;
+use crate::policy::plan::{Plan, Point, Series};
+use crate::policy::results::{
+    point_table, slope_table, slopes, PointResult, Record, RecordBody, SkippedPoint, Slopes,
+    MIN_RUNS_FOR_SLOPES,
+};
+use crate::policy::run_process;
+use crate::provenance::{Provenance, COMMIT};
+use crate::report::RecordFile;
+use clap::ValueEnum;
+use indicatif::{ProgressBar, ProgressStyle};
+use std::io::{self, Write};
+
+const PROGRESS_TEMPLATE: &str = "{bar:30} {pos}/{len} runs, {msg}";
+
+/// Runs the experiment from its arguments to its results.
+pub(super) fn run(arguments: &PolicyArguments) -> Result<(), ScaleError> {
+    let plan = Plan::load(arguments)?;
+    let records = arguments.json.as_deref().map(RecordFile::create).transpose()?;
+    let interrupt = Interrupt::install()?;
+    let mut output = io::stdout().lock();
+    writeln!(output, "{}", heading(&plan))?;
+    let (playable, skipped) = select_points(&plan)?;
+    for point in &skipped {
+        writeln!(output, "{}", point.line())?;
+    }
+    output.flush()?;
+    let outcome = play(&plan, &playable, &interrupt);
+    let series = SeriesResults::collect(&outcome.results);
+    print_tables(&mut output, &series)?;
+    if let Some(records) = records {
+        write_records(records, &plan, &skipped, &series)?;
+    }
+    outcome.stopped.map_or(Ok(()), Err)
+}
+
+fn heading(plan: &Plan) -> String {
+    let (least, most) = plan.request_range();
+    format!(
+        "scenario {}, seed {}, commit {COMMIT}\n\
+         {} runs a point, each in a process of its own; figures are median [least, greatest] of the runs\n\
+         requests measured in a run: {least} to {most}, as many as fit a time budget of {:?} of processor time a point",
+        plan.scenario_name, plan.seed, plan.runs, plan.time_budget
+    )
+}
+
+/// The points that fit the machine, and those that do not.
+fn select_points(plan: &Plan) -> Result<(Vec<Point>, Vec<SkippedPoint>), ScaleError> {
+    let machine_bytes = machine_bytes()?;
+    let mut playable = Vec::new();
+    let mut skipped = Vec::new();
+    for point in plan.points.iter().copied() {
+        match point.reason_to_skip(machine_bytes) {
+            Some(reason) => skipped.push(SkippedPoint { point, reason }),
+            None => playable.push(point),
+        }
+    }
+    Ok((playable, skipped))
+}
+
+/// What was measured, and why the rest was not.
+#[derive(Debug)]
+struct PlayOutcome {
+    results: Vec<PointResult>,
+    stopped: Option<ScaleError>,
+}
+
+/// Plays one series after the other, until a run fails or the user interrupts.
+fn play(plan: &Plan, points: &[Point], interrupt: &Interrupt) -> PlayOutcome {
+    let progress = progress_bar(points.len() as u64 * plan.runs);
+    let mut results: Vec<_> = points.iter().copied().map(PointResult::new).collect();
+    let by_series = results.chunk_by_mut(|one, next| one.point.series == next.point.series);
+    let played: Result<(), ScaleError> =
+        by_series.into_iter().try_for_each(|series| play_series(plan, series, interrupt, &progress));
+    progress.finish_and_clear();
+    results.retain(|result| !result.runs.is_empty());
+    PlayOutcome { results, stopped: played.err() }
+}
+
+/// Makes all runs of a series. The points take turns, so that what changes on the machine meanwhile falls on all of
+/// them, and shows in the spread.
+fn play_series(
+    plan: &Plan, series: &mut [PointResult], interrupt: &Interrupt, progress: &ProgressBar,
+) -> Result<(), ScaleError> {
+    for run in 0..plan.runs {
+        for result in series.iter_mut() {
+            let point = result.point;
+            progress.set_message(format!("{} {}", point.size(), point.series));
+            let Some(measurement) = run_process::start(&plan.run_plan(point), interrupt)? else {
+                let (done, planned) = (progress.position(), progress.length().unwrap_or_default());
+                return Err(ScaleError::Interrupted { done, planned });
+            };
+            tracing::info!(?point, run, ?measurement, "run measured");
+            result.add(measurement)?;
+            progress.inc(1);
+        }
+    }
+    Ok(())
+}
+
+/// A progress bar on standard error, hidden where that is no terminal.
+fn progress_bar(runs: u64) -> ProgressBar {
+    let style = ProgressStyle::with_template(PROGRESS_TEMPLATE).expect("the template is valid");
+    ProgressBar::new(runs).with_style(style)
+}
+
+/// The results of one series.
+#[derive(Debug)]
+struct SeriesResults<'a> {
+    series: Series,
+    results: Vec<&'a PointResult>,
+    slopes: Option<Slopes>,
+}
+
+impl<'a> SeriesResults<'a> {
+    /// All series that have results.
+    fn collect(results: &'a [PointResult]) -> Vec<SeriesResults<'a>> {
+        let of_series = |series: &Series| {
+            let results: Vec<_> = results.iter().filter(|result| result.point.series == *series).collect();
+            let slopes = slopes(&results);
+            SeriesResults { series: *series, results, slopes }
+        };
+        let all = Series::value_variants().iter().map(of_series);
+        all.filter(|series| !series.results.is_empty()).collect()
+    }
+}
+
+fn print_tables(output: &mut impl Write, series: &[SeriesResults]) -> Result<(), ScaleError> {
+    for SeriesResults { series, results, .. } in series {
+        writeln!(output, "\nby {series}\n{}", point_table(results))?;
+    }
+    let slopes: Vec<_> = series.iter().filter_map(|series| Some((series.series, series.slopes?))).collect();
+    if !slopes.is_empty() {
+        writeln!(output, "\nslopes by least squares\n{}", slope_table(&slopes))?;
+    } else {
+        writeln!(output, "\nno slopes: they take {MIN_RUNS_FOR_SLOPES} runs of two points of a series")?;
+    }
+    output.flush()?;
+    Ok(())
+}
+
+fn write_records(
+    mut records: RecordFile, plan: &Plan, skipped: &[SkippedPoint], series: &[SeriesResults],
+) -> Result<(), ScaleError> {
+    let provenance = Provenance::of_this_process(plan.seed);
+    for point in skipped {
+        records.write(&Record::new(&provenance, point.record()))?;
+    }
+    for SeriesResults { series, results, slopes } in series {
+        for result in results {
+            if let Some(body) = result.record() {
+                records.write(&Record::new(&provenance, body))?;
+            }
+        }
+        if let Some(slopes) = *slopes {
+            let body = RecordBody::Slope { series: *series, points: results.len(), slopes };
+            records.write(&Record::new(&provenance, body))?;
+        }
+    }
+    records.commit()
+}
--- /dev/null
+++ b/scale/src/policy/results.rs
@@ -0,0 +1,229 @@
+//! Results of the points: their summaries, tables and records.
+
+use crate::error::ScaleError;
+use crate::policy::plan::{Point, Series};
+use crate::policy::run::RunMeasurement;
+use crate::policy::simulation::Counts;
+use crate::provenance::Provenance;
+use crate::report::{spread_cell, table};
+use crate::statistics::{least_squares_slope, Spread};
+use serde::Serialize;
+
+/// Name of the experiment in its records.
+const EXPERIMENT: &str = "policy";
+/// Runs from which on a slope is worth telling.
+pub(super) const MIN_RUNS_FOR_SLOPES: usize = 5;
+const NANOS_PER_MICRO: f64 = 1e3;
+const NANOS_PER_MILLI: f64 = 1e6;
+const BYTES_PER_MEBIBYTE: f64 = 1_048_576.0;
+
+/// A point and all its runs.
+#[derive(Clone, Debug)]
+pub(super) struct PointResult {
+    pub point: Point,
+    pub runs: Vec<RunMeasurement>,
+}
+
+/// A point that was not played.
+#[derive(Clone, Debug)]
+pub(super) struct SkippedPoint {
+    pub point: Point,
+    pub reason: String,
+}
+
+/// A record of the file.
+#[derive(Debug, Serialize)]
+pub(super) struct Record<'a> {
+    experiment: &'static str,
+    #[serde(flatten)]
+    provenance: &'a Provenance,
+    #[serde(flatten)]
+    body: RecordBody,
+}
+
+impl<'a> Record<'a> {
+    /// A record of this experiment.
+    pub fn new(provenance: &'a Provenance, body: RecordBody) -> Record<'a> {
+        Record { experiment: EXPERIMENT, provenance, body }
+    }
+}
+
+/// What a record tells.
+#[derive(Debug, Serialize)]
+#[serde(tag = "record", rename_all = "lowercase")]
+pub(super) enum RecordBody {
+    /// A point that was measured.
+    Point {
+        #[serde(flatten)]
+        point: Point,
+        runs: usize,
+        #[serde(flatten)]
+        summary: PointSummary,
+    },
+    /// A point that was not played.
+    Skipped {
+        #[serde(flatten)]
+        point: Point,
+        reason: String,
+    },
+    /// What one more of the size that grows along the series costs.
+    Slope {
+        series: Series,
+        points: usize,
+        #[serde(flatten)]
+        slopes: Slopes,
+    },
+}
+
+/// Figures of a point over its runs.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub(super) struct PointSummary {
+    request_microseconds: Spread,
+    request_p99_microseconds: Spread,
+    requests_measured: Spread,
+    idle_maintenance_milliseconds_per_second: Spread,
+    warm_maintenance_milliseconds_per_second: Spread,
+    memory_bytes: Spread,
+    counts: Counts,
+}
+
+/// Least-squares slopes of a series, over its runs.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub(super) struct Slopes {
+    runs: usize,
+    request_nanoseconds: Spread,
+    idle_maintenance_nanoseconds_per_second: Spread,
+    warm_maintenance_nanoseconds_per_second: Spread,
+    memory_bytes: Spread,
+}
+
+impl PointResult {
+    /// A point without runs.
+    pub fn new(point: Point) -> PointResult {
+        PointResult { point, runs: Vec::new() }
+    }
+
+    /// Adds a run; an error if it made other decisions than those before.
+    pub fn add(&mut self, run: RunMeasurement) -> Result<(), ScaleError> {
+        if let Some(first) = self.runs.first().filter(|first| first.counts != run.counts) {
+            let (first, other) = (format!("{:?}", first.counts), format!("{:?}", run.counts));
+            return Err(ScaleError::NotReproducible { first, other });
+        }
+        self.runs.push(run);
+        Ok(())
+    }
+
+    /// The figures over all runs; none if there is no run.
+    pub fn summary(&self) -> Option<PointSummary> {
+        Some(PointSummary {
+            request_microseconds: self.spread(|run| run.request_nanos / NANOS_PER_MICRO)?,
+            request_p99_microseconds: self.spread(|run| run.request_p99_nanos / NANOS_PER_MICRO)?,
+            requests_measured: self.spread(|run| run.requests_measured as f64)?,
+            idle_maintenance_milliseconds_per_second: self
+                .spread(|run| run.idle_maintenance_nanos / NANOS_PER_MILLI)?,
+            warm_maintenance_milliseconds_per_second: self
+                .spread(|run| run.warm_maintenance_nanos / NANOS_PER_MILLI)?,
+            memory_bytes: self.spread(|run| run.memory_bytes as f64)?,
+            counts: self.runs.first()?.counts,
+        })
+    }
+
+    /// The record of the point; none if there is no run.
+    pub fn record(&self) -> Option<RecordBody> {
+        Some(RecordBody::Point { point: self.point, runs: self.runs.len(), summary: self.summary()? })
+    }
+
+    fn spread(&self, figure: fn(&RunMeasurement) -> f64) -> Option<Spread> {
+        Spread::of(self.runs.iter().map(figure))
+    }
+}
+
+impl SkippedPoint {
+    /// The line that says so.
+    pub fn line(&self) -> String {
+        let Point { series, listed, active, backlog } = self.point;
+        format!("skipped: by {series}: {listed} listed, {active} active, {backlog} held: {}", self.reason)
+    }
+
+    /// The record of the point.
+    pub fn record(&self) -> RecordBody {
+        RecordBody::Skipped { point: self.point, reason: self.reason.clone() }
+    }
+}
+
+/// The table of the points of a series.
+pub(super) fn point_table(results: &[&PointResult]) -> String {
+    let header = [
+        "listed",
+        "active",
+        "held",
+        "runs",
+        "request us",
+        "request p99 us",
+        "requests",
+        "idle maintenance ms/s",
+        "warm maintenance ms/s",
+        "memory MiB",
+        "calls",
+    ];
+    table(&header, results.iter().filter_map(|result| point_row(result)))
+}
+
+fn point_row(result: &PointResult) -> Option<Vec<String>> {
+    let PointResult { point, runs } = result;
+    let summary = result.summary()?;
+    Some(vec![
+        point.listed.to_string(),
+        point.active.to_string(),
+        point.backlog.to_string(),
+        runs.len().to_string(),
+        spread_cell(summary.request_microseconds),
+        spread_cell(summary.request_p99_microseconds),
+        spread_cell(summary.requests_measured),
+        spread_cell(summary.idle_maintenance_milliseconds_per_second),
+        spread_cell(summary.warm_maintenance_milliseconds_per_second),
+        spread_cell(summary.memory_bytes.scaled(1.0 / BYTES_PER_MEBIBYTE)),
+        summary.counts.calls.to_string(),
+    ])
+}
+
+/// The slopes of a series; none where runs are too few or its points do not differ.
+pub(super) fn slopes(results: &[&PointResult]) -> Option<Slopes> {
+    let runs = results.iter().map(|result| result.runs.len()).min()?;
+    if runs < MIN_RUNS_FOR_SLOPES {
+        return None;
+    }
+    Some(Slopes {
+        runs,
+        request_nanoseconds: slope(results, runs, |run| run.request_nanos)?,
+        idle_maintenance_nanoseconds_per_second: slope(results, runs, |run| run.idle_maintenance_nanos)?,
+        warm_maintenance_nanoseconds_per_second: slope(results, runs, |run| run.warm_maintenance_nanos)?,
+        memory_bytes: slope(results, runs, |run| run.memory_bytes as f64)?,
+    })
+}
+
+/// One slope for each run, through the same run of all points.
+fn slope(results: &[&PointResult], runs: usize, figure: fn(&RunMeasurement) -> f64) -> Option<Spread> {
+    let slope_of_run = |run: usize| {
+        let points = results.iter().map(|result| (result.point.size() as f64, figure(&result.runs[run])));
+        least_squares_slope(&points.collect::<Vec<_>>())
+    };
+    let slopes: Option<Vec<f64>> = (0..runs).map(slope_of_run).collect();
+    Spread::of(slopes?)
+}
+
+/// The table of slopes.
+pub(super) fn slope_table(slopes: &[(Series, Slopes)]) -> String {
+    let header =
+        ["for each of the", "request ns", "idle maintenance ns/s", "warm maintenance ns/s", "memory bytes"];
+    let rows = slopes.iter().map(|(series, slopes)| {
+        vec![
+            series.to_string(),
+            spread_cell(slopes.request_nanoseconds),
+            spread_cell(slopes.idle_maintenance_nanoseconds_per_second),
+            spread_cell(slopes.warm_maintenance_nanoseconds_per_second),
+            spread_cell(slopes.memory_bytes),
+        ]
+    });
+    table(&header, rows)
+}
--- /dev/null
+++ b/scale/src/policy/run_process.rs
@@ -0,0 +1,68 @@
+//! A run in a process of its own: so neither time nor memory depends on the runs before it.
+//!
+//! The plan goes to the process's standard input, the measurement comes from its standard output, both as JSON.
+
+use crate::error::ScaleError;
+use crate::interrupt::Interrupt;
+use crate::policy::plan::RunPlan;
+use crate::policy::run::{self, RunMeasurement};
+use rustix::process::Signal;
+use std::io::{self, Write};
+use std::os::unix::process::ExitStatusExt;
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::Duration;
+
+/// Name of the subcommand that makes one run.
+pub const RUN_SUBCOMMAND: &str = "policy-run";
+/// Span between two looks at whether the run is over.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Makes the run whose plan stands on standard input.
+pub(super) fn serve() -> Result<(), ScaleError> {
+    let plan: RunPlan = serde_json::from_reader(io::stdin().lock())?;
+    let measurement = run::measure(&plan)?;
+    let mut output = io::stdout().lock();
+    serde_json::to_writer(&mut output, &measurement)?;
+    output.flush()?;
+    Ok(())
+}
+
+/// Makes a run in a new process; none if the user interrupts it.
+pub(super) fn start(plan: &RunPlan, interrupt: &Interrupt) -> Result<Option<RunMeasurement>, ScaleError> {
+    let mut child = Command::new(std::env::current_exe()?)
+        .arg(RUN_SUBCOMMAND)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()?;
+    if let Some(input) = child.stdin.take() {
+        serde_json::to_writer(input, plan)?;
+    }
+    if !wait(&mut child, interrupt)? {
+        return Ok(None);
+    }
+    let output = child.wait_with_output()?;
+    // The process gets the interrupts of the terminal too, and may have ended by one.
+    if interrupt.is_received() || output.status.signal() == Some(Signal::INT.as_raw()) {
+        return Ok(None);
+    }
+    if !output.status.success() {
+        let said = String::from_utf8_lossy(&output.stderr);
+        return Err(ScaleError::Run(format!("{}: {}", output.status, said.trim())));
+    }
+    Ok(Some(serde_json::from_slice(&output.stdout)?))
+}
+
+/// Waits for the process to end, or ends it where the user interrupts; gives whether it ended by itself.
+fn wait(child: &mut Child, interrupt: &Interrupt) -> io::Result<bool> {
+    while child.try_wait()?.is_none() {
+        if interrupt.is_received() {
+            child.kill()?;
+            child.wait()?;
+            return Ok(false);
+        }
+        thread::sleep(POLL_INTERVAL);
+    }
+    Ok(true)
+}
--- /dev/null
+++ b/scale/src/policy/simulation.rs
@@ -0,0 +1,381 @@
+//! A forwarder on a virtual clock: it feeds the delivery policy, carries out what it decides, and counts.
+//!
+//! Events of one moment are passed in together, as a forwarder does. Timers have a moment of their own, before
+//! the traffic of the same time: so what is done periodically and what requests cost are told apart.
+
+use crate::clock::ProcessorClock;
+use crate::policy::policy_under_test::PolicyUnderTest;
+use hatchline::{Action, DestinationId, Endpoint, Event, ListKind, MessageId, Micros, Outcome, TargetId};
+use hatchline::{ListedRate, Settings};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::time::Duration;
+
+/// The virtual clock's first reading.
+const START: Micros = 5_000_000;
+/// Part of the service time by which an answer comes earlier or later.
+const SERVICE_TIME_VARIATION: f64 = 0.2;
+
+/// What a forwarder was told and did. The same for the same seed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Counts {
+    /// Messages handed in.
+    pub requests: u64,
+    /// Calls made.
+    pub calls: u64,
+    /// Messages delivered.
+    pub delivered: u64,
+    /// Messages that the policy ended undelivered.
+    pub ended: u64,
+    /// Actions of all kinds.
+    pub actions: u64,
+    /// Timers that fell due.
+    pub timers: u64,
+}
+
+/// Processor time by what it was taken for.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Costs {
+    /// Requests and answers, with the decisions that followed.
+    pub traffic: Duration,
+    /// Timers, with the decisions that followed.
+    pub maintenance: Duration,
+}
+
+/// How far a message has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Stage {
+    #[default]
+    Underway,
+    Delivered,
+    /// Its destination has asked for a pause, which outlasts the run.
+    Paused,
+}
+
+/// A message that is on its way.
+#[derive(Debug, Default)]
+struct Tracked {
+    attempts: u32,
+    /// The attempt that is out.
+    open: Option<u32>,
+    stage: Stage,
+    cost: Duration,
+}
+
+/// What happens later. Timers stand first, so that they go before traffic of the same time.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Later {
+    Timer { token: u32 },
+    Request { id: MessageId, destination: DestinationId },
+    Answer { call: Call, answer: Answer },
+}
+
+/// An attempt that is out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Call {
+    id: MessageId,
+    attempt: u32,
+    target: TargetId,
+    sent: Micros,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Answer {
+    Ok,
+    TimedOut,
+    Cancelled,
+    /// Refused, with a Retry-After of this span.
+    RetryAfter(Micros),
+}
+
+/// A forwarder with its destinations; each has one endpoint, of the same number.
+#[derive(Debug)]
+pub(super) struct Simulation {
+    policy: PolicyUnderTest,
+    now: Micros,
+    processor: ProcessorClock,
+    random: ChaCha8Rng,
+    later: BinaryHeap<Reverse<(Micros, Later)>>,
+    tracked: HashMap<MessageId, Tracked>,
+    pausing: HashSet<DestinationId>,
+    pause: Micros,
+    class: u32,
+    deadlines: Vec<Micros>,
+    listed_rate: ListedRate,
+    service_time: Micros,
+    /// Where all calls take the same time.
+    service_time_now: Option<Micros>,
+    last_id: MessageId,
+    counts: Counts,
+    costs: Costs,
+    /// Processor time of each message delivered, if it is kept.
+    finished: Option<Vec<Duration>>,
+    actions: Vec<Action>,
+}
+
+impl Simulation {
+    /// A forwarder that has just come up and knows of no destination.
+    pub fn new(seed: u64, settings: Settings, service_time: Micros) -> Simulation {
+        Simulation {
+            now: START,
+            processor: ProcessorClock::calibrated(),
+            random: ChaCha8Rng::seed_from_u64(seed),
+            later: BinaryHeap::new(),
+            tracked: HashMap::new(),
+            pausing: HashSet::new(),
+            pause: 0,
+            class: 0,
+            deadlines: settings.classes.iter().map(|class| class.deadline).collect(),
+            listed_rate: settings.listed_rate,
+            service_time,
+            service_time_now: None,
+            last_id: 0,
+            counts: Counts::default(),
+            costs: Costs::default(),
+            finished: None,
+            actions: Vec::new(),
+            policy: PolicyUnderTest::new(START, seed, settings),
+        }
+    }
+
+    /// What was counted so far.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Processor time so far.
+    pub fn costs(&self) -> Costs {
+        self.costs
+    }
+
+    /// Messages that are neither delivered nor ended.
+    pub fn held(&self) -> u64 {
+        self.counts.requests - self.counts.delivered - self.counts.ended
+    }
+
+    /// Keeps the processor time of each message that is delivered from now on.
+    pub fn keep_finished(&mut self) {
+        self.finished = Some(Vec::new());
+    }
+
+    /// Processor time of each message that was delivered since it is kept.
+    pub fn take_finished(&mut self) -> Vec<Duration> {
+        self.finished.take().unwrap_or_default()
+    }
+
+    /// Requests from now on are of this class.
+    pub fn use_class(&mut self, class: u32) {
+        self.class = class;
+    }
+
+    /// Passes in the whole list of destinations, numbered from 0.
+    pub fn list(&mut self, count: DestinationId, rate: f64) {
+        let rate = if self.listed_rate == ListedRate::Unknown { 0.0 } else { rate };
+        let endpoint = |number| Endpoint { target: number, destination: number, rate, ..Endpoint::default() };
+        let endpoints = (0..count).map(endpoint).collect();
+        self.advance(vec![Event::List { kind: ListKind::Full, version: 1, endpoints }]);
+    }
+
+    /// These destinations answer each call with a Retry-After of this span from now on.
+    pub fn pause(&mut self, destinations: impl IntoIterator<Item = DestinationId>, span: Micros) {
+        self.pausing.extend(destinations);
+        self.pause = span;
+    }
+
+    /// Hands in a request for each of the destinations, all at one moment, and lets time pass until none of them is
+    /// on its way. All calls take the same time.
+    pub fn serve_each(&mut self, destinations: &[DestinationId]) {
+        self.service_time_now = Some(self.random_service_time());
+        for destination in destinations {
+            self.request_after(1, *destination);
+        }
+        self.run_until_idle();
+        self.service_time_now = None;
+    }
+
+    /// Hands in a request for each of the destinations, all at one moment, and leaves them waiting.
+    pub fn hold_each(&mut self, destinations: impl IntoIterator<Item = DestinationId>) {
+        let mut events = Vec::new();
+        for destination in destinations {
+            let id = self.new_id();
+            events.push(self.request(id, destination));
+        }
+        self.advance(events);
+    }
+
+    /// Schedules a request. Its message counts as on its way from now on.
+    pub fn request_after(&mut self, span: Micros, destination: DestinationId) {
+        let id = self.new_id();
+        self.tracked.insert(id, Tracked::default());
+        self.later.push(Reverse((self.now + span, Later::Request { id, destination })));
+    }
+
+    /// Lets time pass until no message is on its way. Timers fall due on the way.
+    pub fn run_until_idle(&mut self) {
+        while !self.tracked.is_empty() && self.step() {}
+    }
+
+    /// Lets a span pass.
+    pub fn run_for(&mut self, span: Micros) {
+        let end = self.now + span;
+        while self.later.peek().is_some_and(|Reverse((at, _))| *at <= end) {
+            self.step();
+        }
+        self.now = end;
+    }
+
+    /// Plays the next moment, if there is one.
+    pub fn step(&mut self) -> bool {
+        let Some(Reverse((at, first))) = self.later.pop() else { return false };
+        self.now = at;
+        if let Later::Timer { token } = first {
+            self.timer(token);
+        } else {
+            self.traffic(first);
+        }
+        true
+    }
+
+    fn timer(&mut self, token: u32) {
+        self.counts.timers += 1;
+        let spent = self.advance(vec![Event::Timer { token }]);
+        self.costs.maintenance += spent;
+    }
+
+    /// Plays the traffic of this moment.
+    fn traffic(&mut self, first: Later) {
+        let mut events = Vec::new();
+        let mut ids = Vec::new();
+        let mut next = Some(first);
+        while let Some(later) = next {
+            if let Some((id, event)) = self.event(later) {
+                events.push(event);
+                ids.push(id);
+            }
+            let is_due = self.later.peek().is_some_and(|Reverse((at, _))| *at == self.now);
+            next = if is_due { self.later.pop().map(|Reverse((_, later))| later) } else { None };
+        }
+        if events.is_empty() {
+            return;
+        }
+        let spent = self.advance(events);
+        self.costs.traffic += spent;
+        self.share_cost(&ids, spent);
+    }
+
+    /// Gives each message of a moment its part of the moment's cost, and lets go of those that wait no more.
+    fn share_cost(&mut self, ids: &[MessageId], spent: Duration) {
+        let part = spent.div_f64(ids.len() as f64);
+        for id in ids {
+            let Some(tracked) = self.tracked.get_mut(id) else { continue };
+            tracked.cost += part;
+            if tracked.stage == Stage::Delivered {
+                self.finished.iter_mut().for_each(|finished| finished.push(tracked.cost));
+            }
+            if tracked.stage != Stage::Underway {
+                self.tracked.remove(id);
+            }
+        }
+    }
+
+    /// The event that the policy is told, and its message; none for an answer to an attempt that is over.
+    fn event(&mut self, later: Later) -> Option<(MessageId, Event)> {
+        match later {
+            Later::Timer { .. } => None,
+            Later::Request { id, destination } => Some((id, self.request(id, destination))),
+            Later::Answer { call, answer } => Some((call.id, self.answer(call, answer)?)),
+        }
+    }
+
+    fn request(&mut self, id: MessageId, destination: DestinationId) -> Event {
+        self.counts.requests += 1;
+        let expires = self.now + self.deadlines[self.class as usize];
+        Event::Request { id, class: self.class, destination, order_key: 0, expires }
+    }
+
+    fn new_id(&mut self) -> MessageId {
+        self.last_id += 1;
+        self.last_id
+    }
+
+    fn answer(&mut self, call: Call, answer: Answer) -> Option<Event> {
+        let Call { id, attempt, target, sent } = call;
+        let tracked = self.tracked.get_mut(&id).filter(|tracked| tracked.open == Some(attempt))?;
+        tracked.open = None;
+        let (outcome, wait) = match answer {
+            Answer::Ok => (Outcome::Ok, 0),
+            Answer::TimedOut => (Outcome::TimedOut, 0),
+            Answer::Cancelled => (Outcome::Cancelled, 0),
+            Answer::RetryAfter(span) => (Outcome::Full, span),
+        };
+        tracked.stage = match answer {
+            Answer::Ok => Stage::Delivered,
+            Answer::RetryAfter(_) => Stage::Paused,
+            Answer::TimedOut | Answer::Cancelled => Stage::Underway,
+        };
+        let ended = answer == Answer::Ok;
+        self.counts.delivered += u64::from(ended);
+        let took = self.now - sent;
+        Some(Event::Outcome { id, attempt, target, outcome, took, ended, wait, report: None })
+    }
+
+    /// Passes in the events of this moment and carries out what is decided; gives the policy's processor time.
+    fn advance(&mut self, events: Vec<Event>) -> Duration {
+        let mut actions = std::mem::take(&mut self.actions);
+        let (policy, now) = (&mut self.policy, self.now);
+        let spent = self.processor.time(|| policy.advance(now, events, &mut actions));
+        for action in actions.drain(..) {
+            self.carry_out(action);
+        }
+        self.actions = actions;
+        spent
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        self.counts.actions += 1;
+        match action {
+            Action::Send { id, target, until } => self.send(id, target, until),
+            Action::Cancel { id, attempt } => self.cancel(id, attempt),
+            Action::Refuse { id, .. } | Action::Fail { id } => {
+                self.counts.ended += 1;
+                self.tracked.remove(&id);
+            }
+            Action::Timer { after, token } => {
+                self.later.push(Reverse((self.now + after.max(1), Later::Timer { token })));
+            }
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, id: MessageId, target: TargetId, until: Micros) {
+        self.counts.calls += 1;
+        let service_time = self.service_time_now.unwrap_or_else(|| self.random_service_time());
+        let tracked = self.tracked.entry(id).or_default();
+        let call = Call { id, attempt: tracked.attempts, target, sent: self.now };
+        tracked.open = Some(call.attempt);
+        tracked.attempts += 1;
+        let answered = self.now + service_time;
+        let (at, answer) = match self.pausing.contains(&target) {
+            true => (answered, Answer::RetryAfter(self.pause)),
+            false if answered > until => (until, Answer::TimedOut),
+            false => (answered, Answer::Ok),
+        };
+        self.later.push(Reverse((at, Later::Answer { call, answer })));
+    }
+
+    /// Calls off an attempt. Its own answer, if it comes later, finds it over.
+    fn cancel(&mut self, id: MessageId, attempt: u32) {
+        let call = Call { id, attempt, target: TargetId::default(), sent: self.now };
+        let cancelled = Later::Answer { call, answer: Answer::Cancelled };
+        self.later.push(Reverse((self.now + 1, cancelled)));
+    }
+
+    fn random_service_time(&mut self) -> Micros {
+        let variation = 1.0 - SERVICE_TIME_VARIATION..=1.0 + SERVICE_TIME_VARIATION;
+        let factor = self.random.random_range(variation);
+        (self.service_time as f64 * factor) as Micros
+    }
+}
--- /dev/null
+++ b/scale/src/range.rs
@@ -0,0 +1,38 @@
+//! Whole numbers that are checked against their range as they are read.
+
+use serde::{de, Deserialize, Deserializer, Serialize};
+use std::str::FromStr;
+
+/// A whole number of at least `MIN` and at most `MAX`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(transparent)]
+pub struct Bounded<const MIN: u64, const MAX: u64>(u64);
+
+impl<const MIN: u64, const MAX: u64> Bounded<MIN, MAX> {
+    /// The number, if it is in range; otherwise why not.
+    pub fn new(number: i128) -> Result<Self, String> {
+        let in_range = u64::try_from(number).ok().filter(|number| (MIN..=MAX).contains(number));
+        in_range.map(Bounded).ok_or_else(|| format!("{number} is out of range, {MIN} to {MAX}"))
+    }
+
+    /// The number.
+    pub fn get(self) -> u64 {
+        self.0
+    }
+}
+
+impl<'de, const MIN: u64, const MAX: u64> Deserialize<'de> for Bounded<MIN, MAX> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let number = i64::deserialize(deserializer)?;
+        Bounded::new(number.into()).map_err(de::Error::custom)
+    }
+}
+
+impl<const MIN: u64, const MAX: u64> FromStr for Bounded<MIN, MAX> {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let number: i128 = text.parse().map_err(|_| format!("{text:?} is no whole number"))?;
+        Bounded::new(number)
+    }
+}
--- /dev/null
+++ b/scale/src/report.rs
@@ -0,0 +1,88 @@
+//! Results: tables for people, and records in a file, one JSON object a line.
+
+use crate::error::ScaleError;
+use crate::statistics::Spread;
+use comfy_table::{presets, CellAlignment, Table};
+use serde::Serialize;
+use std::fs::Permissions;
+use std::io::{self, Write};
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
+use tempfile::{Builder, NamedTempFile};
+
+/// Mode of the records' file, less what the user's mask takes off.
+const RECORDS_MODE: u32 = 0o666;
+
+/// A file of records. It appears, or replaces the one of its name, only whole: when it is committed.
+#[derive(Debug)]
+pub struct RecordFile {
+    path: PathBuf,
+    temporary: NamedTempFile,
+}
+
+impl RecordFile {
+    /// Starts a file in the folder of its name, so that one that cannot be written is known at once.
+    pub fn create(path: &Path) -> Result<RecordFile, ScaleError> {
+        let folder = match path.parent() {
+            Some(folder) if folder != Path::new("") => folder,
+            _ => Path::new("."),
+        };
+        let mode = Permissions::from_mode(RECORDS_MODE);
+        let temporary = Builder::new()
+            .prefix(".scale-records-")
+            .permissions(mode)
+            .tempfile_in(folder)
+            .map_err(|source| write_error(path, source))?;
+        Ok(RecordFile { path: path.to_owned(), temporary })
+    }
+
+    /// Adds a record.
+    pub fn write(&mut self, record: &impl Serialize) -> Result<(), ScaleError> {
+        let mut line = serde_json::to_vec(record)?;
+        line.push(b'\n');
+        self.temporary.write_all(&line).map_err(|source| write_error(&self.path, source))
+    }
+
+    /// Puts the file in its place.
+    pub fn commit(self) -> Result<(), ScaleError> {
+        let RecordFile { path, temporary } = self;
+        temporary.as_file().sync_all().map_err(|source| write_error(&path, source))?;
+        temporary.persist(&path).map_err(|failure| write_error(&path, failure.error))?;
+        Ok(())
+    }
+}
+
+fn write_error(path: &Path, source: io::Error) -> ScaleError {
+    ScaleError::WriteRecords { path: path.to_owned(), source }
+}
+
+/// A table of right-aligned columns.
+pub fn table(header: &[&str], rows: impl IntoIterator<Item = Vec<String>>) -> String {
+    let mut table = Table::new();
+    table.load_style(presets::ASCII_MARKDOWN).set_header(header);
+    for row in rows {
+        table.add_row(row);
+    }
+    for column in table.column_iter_mut() {
+        column.set_cell_alignment(CellAlignment::Right);
+    }
+    table.to_string()
+}
+
+/// A spread in a cell: median, least and greatest.
+pub fn spread_cell(spread: Spread) -> String {
+    let Spread { median, min, max } = spread;
+    format!("{} [{}, {}]", three_digits(median), three_digits(min), three_digits(max))
+}
+
+/// A number with about three significant digits; whole from a hundred on.
+fn three_digits(number: f64) -> String {
+    let decimals = match number.abs() {
+        size if size >= 100.0 => 0,
+        size if size >= 10.0 => 1,
+        size if size >= 1.0 => 2,
+        size if size >= 0.1 => 3,
+        _ => 4,
+    };
+    format!("{number:.decimals$}")
+}
--- /dev/null
+++ b/scale/src/scenario.rs
@@ -0,0 +1,80 @@
+//! Scenario files: TOML whose errors are told by file, line and key.
+
+use serde::de::DeserializeOwned;
+use std::io;
+use std::ops::Range;
+use std::path::{Path, PathBuf};
+use thiserror::Error;
+
+/// Why a scenario file cannot be used.
+#[derive(Debug, Error)]
+pub enum ScenarioError {
+    /// The file cannot be read.
+    #[error("{}: cannot be read: {source}", path.display())]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// A line is no TOML, has an unknown key, or a value that does not fit.
+    #[error("{}:{line}: {key}: {reason}", path.display())]
+    Invalid {
+        /// The file.
+        path: PathBuf,
+        /// The line, from 1.
+        line: usize,
+        /// The key with those of the tables around it.
+        key: String,
+        /// What is wrong.
+        reason: String,
+    },
+}
+
+/// The text of a scenario file.
+#[derive(Clone, Debug)]
+pub struct ScenarioFile {
+    path: PathBuf,
+    text: String,
+}
+
+impl ScenarioFile {
+    /// A scenario that is part of the tool.
+    pub fn built_in(name: &str, text: &str) -> ScenarioFile {
+        ScenarioFile { path: PathBuf::from(name), text: text.to_owned() }
+    }
+
+    /// Reads a file.
+    pub fn read(path: &Path) -> Result<ScenarioFile, ScenarioError> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| ScenarioError::Unreadable { path: path.to_owned(), source })?;
+        Ok(ScenarioFile { path: path.to_owned(), text })
+    }
+
+    /// Where it was read from.
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+
+    /// Parses the text into a scenario.
+    pub fn parse<T: DeserializeOwned>(&self) -> Result<T, ScenarioError> {
+        let deserializer =
+            toml::Deserializer::parse(&self.text).map_err(|error| self.invalid("(syntax)", &error))?;
+        serde_path_to_error::deserialize(deserializer).map_err(|error| {
+            let key = error.path().to_string();
+            self.invalid(&key, error.inner())
+        })
+    }
+
+    /// An error at a place of the text.
+    pub fn error_at(&self, span: Range<usize>, key: &str, reason: impl Into<String>) -> ScenarioError {
+        let before = &self.text.as_bytes()[..span.start.min(self.text.len())];
+        let line = 1 + before.iter().filter(|byte| **byte == b'\n').count();
+        ScenarioError::Invalid { path: self.path.clone(), line, key: key.to_owned(), reason: reason.into() }
+    }
+
+    fn invalid(&self, key: &str, error: &toml::de::Error) -> ScenarioError {
+        let reason = error.message().replace('\n', " ");
+        self.error_at(error.span().unwrap_or(0..0), key, reason)
+    }
+}
--- /dev/null
+++ b/scale/src/statistics.rs
@@ -0,0 +1,48 @@
+//! Summaries of repeated measurements.
+
+use serde::Serialize;
+
+/// The middle of some measurements, and the least and the greatest.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Spread {
+    /// The median.
+    pub median: f64,
+    /// The least.
+    pub min: f64,
+    /// The greatest.
+    pub max: f64,
+}
+
+impl Spread {
+    /// The spread of some measurements, or none if there are none.
+    pub fn of(values: impl IntoIterator<Item = f64>) -> Option<Spread> {
+        let mut sorted: Vec<f64> = values.into_iter().collect();
+        sorted.sort_by(f64::total_cmp);
+        let (min, max) = (*sorted.first()?, *sorted.last()?);
+        Some(Spread { median: median_of_sorted(&sorted), min, max })
+    }
+
+    /// The same in another unit.
+    pub fn scaled(self, factor: f64) -> Spread {
+        Spread { median: self.median * factor, min: self.min * factor, max: self.max * factor }
+    }
+}
+
+fn median_of_sorted(sorted: &[f64]) -> f64 {
+    let middle = sorted.len() / 2;
+    if sorted.len() % 2 == 1 {
+        sorted[middle]
+    } else {
+        (sorted[middle - 1] + sorted[middle]) / 2.0
+    }
+}
+
+/// Slope of the straight line that fits the points (x, y) best by least squares; none if all x are the same.
+pub fn least_squares_slope(points: &[(f64, f64)]) -> Option<f64> {
+    let count = points.len() as f64;
+    let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
+    let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / count;
+    let covariance: f64 = points.iter().map(|(x, y)| (x - mean_x) * (y - mean_y)).sum();
+    let variance: f64 = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
+    (variance > 0.0).then(|| covariance / variance)
+}
--- /dev/null
+++ b/scale/tests/common/mod.rs
@@ -0,0 +1,68 @@
+//! A folder of its own for each test, and the tool started in it.
+
+use rustix::process::{kill_process, Pid, Signal};
+use std::io::{BufRead, BufReader, Read};
+use std::process::{Command, Output, Stdio};
+use tempfile::TempDir;
+
+/// A scenario that takes a moment.
+pub const SCENARIO: &str = include_str!("small.toml");
+
+const SCENARIO_NAME: &str = "small.toml";
+
+/// A folder that holds a scenario.
+pub struct Folder {
+    folder: TempDir,
+}
+
+impl Folder {
+    pub fn with_scenario(text: &str) -> Folder {
+        let folder = Folder { folder: tempfile::tempdir().unwrap() };
+        folder.write(SCENARIO_NAME, text);
+        folder
+    }
+
+    pub fn write(&self, name: &str, text: &str) {
+        std::fs::write(self.folder.path().join(name), text).unwrap();
+    }
+
+    pub fn read(&self, name: &str) -> String {
+        std::fs::read_to_string(self.folder.path().join(name)).unwrap()
+    }
+
+    /// Names of all that the folder holds.
+    pub fn names(&self) -> Vec<String> {
+        let entries = std::fs::read_dir(self.folder.path()).unwrap();
+        let mut names: Vec<_> =
+            entries.map(|entry| entry.unwrap().file_name().into_string().unwrap()).collect();
+        names.sort();
+        names
+    }
+
+    /// Runs the tool in the folder.
+    pub fn scale(&self, arguments: &[&str]) -> Output {
+        self.command(arguments).output().unwrap()
+    }
+
+    /// Runs the tool, and interrupts it once its log has a line with this text.
+    pub fn scale_interrupted_after(&self, arguments: &[&str], text: &str) -> Output {
+        let mut command = self.command(arguments);
+        command.args(["--log-level", "info"]).stdout(Stdio::piped()).stderr(Stdio::piped());
+        let mut child = command.spawn().unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let mut line = String::new();
+        while !line.contains(text) {
+            line.clear();
+            assert_ne!(log.read_line(&mut line).unwrap(), 0, "the log ended without {text:?}");
+        }
+        kill_process(Pid::from_child(&child), Signal::INT).unwrap();
+        log.read_to_string(&mut line).unwrap();
+        child.wait_with_output().unwrap()
+    }
+
+    fn command(&self, arguments: &[&str]) -> Command {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_scale"));
+        command.args(arguments).current_dir(self.folder.path()).stdin(Stdio::null());
+        command
+    }
+}
--- a/test.sh
+++ b/test.sh
@@ -13,10 +13,11 @@
     echo "the decision module is over its limits" >&2
     exit 1
 fi
-cargo fmt --check
-cargo clippy --locked --all-targets -- -D warnings
+cargo fmt --all --check
+cargo clippy --locked --workspace --all-targets -- -D warnings
+# The forwarder alone: the experiment tool is built for its tests.
 cargo build --locked --release
-names=$(cargo test --locked -- --list | sed -n 's/: test$//p')
+names=$(cargo test --locked --workspace -- --list | sed -n 's/: test$//p')
 skips=$(.ci/known-red KNOWN-RED.txt <<<"$names")
 # Names have no spaces. Exact: a test whose name holds that of another is not passed over with it.
-cargo test --locked -- --exact $skips
+cargo test --locked --workspace -- --exact $skips
