--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,7 +1,7 @@
 //! All decisions of the delivery service. Settings, events and actions: `src/interface.rs`.
 //! Per destination: a bucketed histogram of answer times and a count of attempts without an answer give
 //! the time-out and resend point τ of least expected completion time (see [`AnswerTimes`]). Around that
-//! stand a window of calls in flight, a circuit breaker for destinations that look out, and pacing under limits.
+//! stand a window of calls in flight, a circuit breaker for what looks out, and a rate limit under limits.
 
 use crate::answer_histogram::{AnswerHistogram, BUCKETS};
 use crate::interface::*;
@@ -40,7 +40,7 @@
 const FAIL_WEIGHT: f64 = 0.22;
 const LOSSY: f64 = 0.2;
 const MOSTLY_FAILING: f64 = 0.5;
-/// To what a refusal cuts the rate limit; parts by which a served call, at most, and a span of maintenance raise it.
+/// To what a refusal cuts the rate limit; parts by which a served call, at most, and maintenance raise it.
 const RATE_CUT: f64 = 0.7;
 const RATE_RAISE: f64 = 0.08;
 const RATE_DRIFT: f64 = 0.005;
@@ -61,7 +61,7 @@
 /// Unanswered call time, in mean answer times, that makes silence unlikely to be chance.
 const SILENCE_MEANS: f64 = 12.0;
 /// Calls of all replicas in the tip time which do no harm, by the terms; least capacity of a destination in
-/// calls a second; spans of a trouble so far between two half-open probes, of four replicas and of many: these come to
+/// calls a second; spans of a trouble so far between two probes, of four replicas and of many: these come to
 /// know of it one after the other, try in step with its age, and add up to four times what one span has.
 const SLACK: f64 = 2.0;
 const LEAST_TOGETHER: f64 = 2.5;
@@ -75,7 +75,7 @@
 /// Connections in a row that are closed after use once one was turned away from a full table: where calls
 /// alone take up most of it, one in some tens meets it full.
 const CLOSED_AFTER_CROWD: u32 = 32;
-/// Connections that an endpoint is sure to take: while each replica has its even part of them, those that rest
+/// Connections that an endpoint is sure to take: while each replica has its even part, those that rest
 /// harm nobody.
 const EVEN_PLACES: f64 = 16.0;
 /// Part of the multiple that would push a cold destination over which all replicas together may use.
@@ -90,7 +90,8 @@
     /// How late what is decided may be carried out: a message's time is over so much earlier.
     #[serde(skip)] late: Micros,
     pub(crate) now: Micros, seed: u64,
-    messages: BTreeMap<MessageId, Message>, order_queues: BTreeMap<u64, OrderQueue>, pub(crate) routes: Vec<Route>,
+    messages: BTreeMap<MessageId, Message>, order_queues: BTreeMap<u64, OrderQueue>,
+    pub(crate) routes: Vec<Route>,
     destinations: BTreeMap<DestinationId, Destination>, pub(crate) targets: BTreeMap<TargetId, Target>,
     pub(crate) excluded: BTreeSet<TargetId>,
     /// When to look at a message again: its time is up, or its key has rested.
@@ -245,8 +246,8 @@
             l.rate *= RATE_KEEP;
             l.rate_limit +=
                 if l.rate_limit > 0.0 && l.limit <= 0.0 { RATE_DRIFT * (l.rate_limit + 0.5) } else { 0.0 };
-            if matches!(l.breaker, CircuitBreaker::SlowStart { since } if self.now > since + self.settings.rules.ramp_time)
-            {
+            let ramp = self.settings.rules.ramp_time;
+            if matches!(l.breaker, CircuitBreaker::SlowStart { since } if self.now > since + ramp) {
                 l.breaker = CircuitBreaker::Closed;
             }
             let out = l.breaker.is_open();
--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -93,7 +93,7 @@
                 l.budget = (l.budget + RESEND_SHARE).min(RESEND_SAVED);
                 l.rate += (1.0 - RATE_KEEP) * SECOND / MAINTENANCE_INTERVAL as f64;
                 let left = report.filter(|r| r.rate > 0.0).map_or(0.3, |r| r.share_left);
-                // Under a known limit only calls that the rate limit itself has held up say that it is too low.
+                // Under a known limit only calls that the rate limit has held up say that it is too low.
                 let held_up = l.limit <= 0.0 || l.tokens < 1.0 && !l.breaker.is_slow_start();
                 l.rate_limit *= if held_up { 1.0 + RATE_RAISE * (2.0 * left).min(1.0) } else { 1.0 };
                 if l.limit > 0.0 {
--- a/src/policy/rates.rs
+++ b/src/policy/rates.rs
@@ -14,8 +14,8 @@
     }
 
     /// Least span between attempts at a route in trouble. Guards what is out, shut or cold against many
-    /// replicas that each try seldom: each keeps to its part of what would push it over, as in the slow start,
-    /// evenly, or by the trouble's span, in which each message brought one replica at most. Harms if few came.
+    /// replicas that each try seldom: each keeps to its part of what would push it over, as in the
+    /// slow start, evenly, or by the trouble's span, in which each message brought one replica at most.
     pub(super) fn probe_interval(&self, route: usize, at: Micros) -> f64 {
         // The fewer replicas, the better each one's own traffic tells its part; of many, the even part does.
         let senders = f64::from(self.settings.senders.max(2));
@@ -39,7 +39,7 @@
         capacity * warm * r.tip_multiple.max(1.0) * RAMP_CAUTION
     }
 
-    /// The rate limit of a replica of many may have its first call come after all that a restart found is over.
+    /// The rate limit of one of many may let its first call come after all that a restart found is over.
     /// Guards against that: a call is saved up by some moment before. Harms where all have found something
     /// for a limit of less than a call of each in that time.
     pub(super) fn call_in_time(&mut self, route: usize, expires: Micros) {
@@ -86,7 +86,7 @@
         due
     }
 
-    /// A call that was not sent, its message over say, tells nothing and takes nothing: it was no half-open probe.
+    /// A call that was not sent, its message over say, tells nothing and takes nothing: it was no probe.
     pub(super) fn not_sent(&mut self, half_open: bool, again: Micros) {
         self.tokens += 1.0;
         if let (true, CircuitBreaker::Open { next, backoff }) = (half_open, self.breaker) {
@@ -113,7 +113,7 @@
         }
     }
 
-    /// A known limit starts the rate limit at an even part, however little that is: where all begin at once, as
+    /// A known limit starts the rate limit at an even part, however little: where all begin at once, as
     /// after a restart with what they held, a call of each is more than the limit of many a destination.
     pub(super) fn limit_is(&mut self, rate: f64, senders: u32) {
         if self.limit <= 0.0 {
--- a/src/policy/sending.rs
+++ b/src/policy/sending.rs
@@ -65,7 +65,7 @@
         call
     }
 
-    /// Fills a call further, where the destination takes several messages in one. A half-open probe goes alone.
+    /// Fills a call further, where the destination takes several messages in one. A probe goes alone.
     pub(super) fn fill(&mut self, dest: DestinationId, route: usize, target: TargetId, call: u64) {
         let batch = self.settings.batch.get(self.routes[route].kind).copied().unwrap_or(1);
         let zone = self.targets.get(&target).map_or(0, |t| t.zone + 1);
