Give the node's events and the list's types modules of their own

node.rs defined the events that eight modules import, while node.rs imports those eight. The events, what they carry (the end of a call, an operator's request) and the handle that sends them are now in events.rs, the HTTP connection in connection.rs, the list's types in hatchline::discovery::list. Only main.rs imports node.rs. No change of behaviour.

--- a/src/bin/foldtrack/clients.rs
+++ b/src/bin/foldtrack/clients.rs
@@ -1,8 +1,8 @@
 //! The HTTP server that clients hand their messages in to.
 
 use crate::clock::Clock;
+use crate::events::{Answer, Input, Inputs, Receipt, Stage};
 use crate::message::Message;
-use crate::node::{Answer, Input, Inputs, Receipt, Stage};
 use crate::places::{Place, Places};
 use crate::strain::Strain;
 use crate::streams::{self, Tap, Tapped};
--- a/src/bin/foldtrack/clients_tests.rs
+++ b/src/bin/foldtrack/clients_tests.rs
@@ -1,7 +1,7 @@
 //! What peers of the client side see, in paused time: no peer holds a connection that brings no request.
 
 use super::*;
-use crate::node;
+use crate::events;
 use serde_json::json;
 use std::net::SocketAddr;
 use tokio::io::{duplex, AsyncReadExt, AsyncWriteExt, DuplexStream};
@@ -60,7 +60,7 @@
 ) -> (DuplexStream, watch::Sender<Stage>, UnboundedReceiver<Input>) {
     let (peer, ours) = duplex(room);
     let (stage, seen) = watch::channel(Stage::Serving);
-    let (inputs, receiver) = node::channel();
+    let (inputs, receiver) = events::channel();
     let place = places.enter().await.expect("a place");
     let desk = desk(seen, inputs);
     tokio::spawn(connection(ours, desk, place, Duration::ZERO));
@@ -115,7 +115,7 @@
 async fn a_messages_time_counts_from_before_its_wait_to_be_read() {
     let (mut client, ours) = duplex(1024);
     let (_stage, seen) = watch::channel(Stage::Serving);
-    let (inputs, mut receiver) = node::channel();
+    let (inputs, mut receiver) = events::channel();
     let (desk, place) = (desk(seen, inputs), Places::new(1).enter().await.expect("a place"));
     let now = desk.clock.now();
     tokio::spawn(connection(ours, desk, place, Duration::from_millis(300)));
@@ -158,7 +158,7 @@
 async fn take_on(inputs: &mut UnboundedReceiver<Input>) {
     match inputs.recv().await {
         Some(Input::HandIn { reply, .. }) => {
-            let (to_node, _) = node::channel();
+            let (to_node, _) = events::channel();
             let _ = reply.send(Answer::TakenOn(Receipt::new(1, to_node)));
         }
         _ => panic!("nothing was handed in"),
@@ -190,7 +190,7 @@
         // The network has room for a part of the answer.
         let (mut client, _stage, mut inputs) = connect_over(32, &Places::new(1)).await;
         client.write_all(LETTER).await.unwrap();
-        let (to_node, mut told) = node::channel();
+        let (to_node, mut told) = events::channel();
         let Some(Input::HandIn { reply, .. }) = inputs.recv().await else { panic!("nothing was handed in") };
         let _ = reply.send(Answer::TakenOn(Receipt::new(7, to_node)));
         sleep(Duration::from_millis(50)).await;
@@ -254,7 +254,7 @@
     let other = std::str::from_utf8(LETTER).unwrap().replace("X-Request-Id: m", "X-Request-Id: waits");
     waits.write_all(other.as_bytes()).await.unwrap();
     let (_stage, seen) = watch::channel(Stage::Serving);
-    let (inputs, mut receiver) = node::channel();
+    let (inputs, mut receiver) = events::channel();
     tokio::spawn(serve(listener, strained_desk(seen, inputs, Strain::lasting()), Places::new(4)));
     let mut answer = String::new();
     let read = timeout(10 * OWED, hung_up.read_to_string(&mut answer)).await;
@@ -284,7 +284,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let (_stage, seen) = watch::channel(Stage::Serving);
-    let (inputs, mut receiver) = node::channel();
+    let (inputs, mut receiver) = events::channel();
     tokio::spawn(serve(listener, desk(seen, inputs), Places::new(100)));
     let mut clients = clients(address, 5 * READ_IN_A_TURN).await;
     for client in &mut clients {
@@ -319,7 +319,7 @@
         both[1].shutdown().await.unwrap();
     }
     let (_stage, seen) = watch::channel(Stage::Serving);
-    let (inputs, mut receiver) = node::channel();
+    let (inputs, mut receiver) = events::channel();
     let narrow = Desk { stile: Turnstile::new(1), ..Arc::into_inner(desk(seen, inputs)).unwrap() };
     tokio::spawn(serve(listener, Arc::new(narrow), Places::new(4)));
     let first = receiver.recv().await;
@@ -367,7 +367,7 @@
     let count = 3 * ACCEPTED_IN_A_TURN;
     let mut waiting = clients(listener.local_addr().unwrap(), count).await;
     let (_stage, seen) = watch::channel(Stage::Closing);
-    let (inputs, mut receiver) = node::channel();
+    let (inputs, mut receiver) = events::channel();
     let serving = tokio::spawn(serve(listener, desk(seen, inputs), Places::new(count)));
     for client in &mut waiting {
         take_on(&mut receiver).await;
--- a/src/bin/foldtrack/config.rs
+++ b/src/bin/foldtrack/config.rs
@@ -1,7 +1,7 @@
 //! What the forwarder is told at its start: the environment and the configuration file.
 
 use crate::last_list;
-use crate::platform::ServerList;
+use hatchline::discovery::list::ServerList;
 use hatchline::settings::Parsed;
 use serde::Deserialize;
 use std::env;
--- a/src/bin/foldtrack/door.rs
+++ b/src/bin/foldtrack/door.rs
@@ -1,7 +1,7 @@
 //! The door for operators: HTTP at an address of its own, one call to a connection. It decides nothing: a call that
 //! takes an endpoint out or puts it back becomes an event of the node, which answers it.
 
-use crate::node::{Input, Inputs};
+use crate::events::{Ask, Input, Inputs, Told};
 use crate::places::{Place, Places};
 use crate::streams;
 use bytes::Bytes;
@@ -34,21 +34,6 @@
 const BIND_PAUSE: Duration = Duration::from_millis(500);
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// What an operator may ask for.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Ask {
-    /// Whether this process takes clients.
-    Ready,
-    Figures,
-    /// Leave the endpoint of this name out.
-    Disable(String),
-    /// Put it back.
-    Enable(String),
-}
-
-/// What it is told: a status, and a text of lines.
-pub(crate) type Told = (StatusCode, String);
-
 /// Serves operators for as long as the process runs. Messages go on without it where it cannot listen.
 pub(crate) async fn serve(address: SocketAddr, inputs: Inputs) {
     let listener = loop {
--- /dev/null
+++ b/src/bin/foldtrack/events.rs
@@ -0,0 +1,184 @@
+//! The events that sockets, timers and signals report to the node, and the handles by which they do so. The modules that
+//! report events import this one and none imports the node.
+
+use crate::connection::Connection;
+use crate::message::Message;
+use hatchline::discovery::list::ServerList;
+use hatchline::{LimitReport, Outcome, TargetId};
+use hyper::StatusCode;
+use std::net::SocketAddr;
+use std::os::unix::net::UnixStream;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// How far the process is from its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Stage {
+    Serving,
+    /// Told to end: answers close their connections.
+    Draining,
+    /// The same, and nothing is accepted any more: a successor does that.
+    Succeeded,
+    /// Nothing is accepted any more, and idle connections close.
+    Closing,
+}
+
+impl Stage {
+    /// Whether new connections are accepted.
+    pub fn accepts(self) -> bool {
+        matches!(self, Stage::Serving | Stage::Draining)
+    }
+}
+
+/// What a client is told.
+pub(crate) enum Answer {
+    TakenOn(Receipt),
+    Refused { retry_in_ms: u64 },
+}
+
+/// Tells the node, when it is dropped, whether the client's answer has been written.
+pub(crate) struct Receipt {
+    number: u64,
+    inputs: Inputs,
+    pub written: bool,
+}
+
+impl Receipt {
+    pub fn new(number: u64, inputs: Inputs) -> Receipt {
+        Receipt { number, inputs, written: false }
+    }
+
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+}
+
+impl Drop for Receipt {
+    fn drop(&mut self) {
+        self.inputs.send(Input::Answered { number: self.number, written: self.written });
+    }
+}
+
+/// What happens to the node.
+pub(crate) enum Input {
+    HandIn {
+        message: Arc<Message>,
+        reply: oneshot::Sender<Answer>,
+    },
+    Answered {
+        number: u64,
+        written: bool,
+    },
+    /// A message of this class was refused before it was handed in, for want of time.
+    TurnedAway {
+        class: usize,
+    },
+    CallEnded(CallEnd),
+    List(ServerList),
+    /// Notices were taken.
+    Reported {
+        numbers: Vec<u64>,
+    },
+    /// Discovery is found there from now on.
+    Discovery(SocketAddr),
+    /// A call's connection stands: may it be written still?
+    Connected {
+        number: u64,
+        attempt: u32,
+        target: TargetId,
+        go: oneshot::Sender<bool>,
+    },
+    /// A message of this class has been written whole to an endpoint.
+    Written {
+        class: usize,
+    },
+    /// A call at the door.
+    Operator {
+        ask: Ask,
+        reply: oneshot::Sender<Told>,
+    },
+    /// Another process would take over.
+    Successor(UnixStream),
+    Terminate,
+}
+
+/// The way to the node. The queue has no bound of its own: each connection and each call has one input under
+/// way, and connections and calls are bounded.
+#[derive(Clone)]
+pub(crate) struct Inputs(UnboundedSender<Input>);
+
+impl Inputs {
+    pub fn send(&self, input: Input) {
+        // The node is gone only when the process ends.
+        let _ = self.0.send(input);
+    }
+}
+
+/// The channel to a node that is yet to run.
+pub(crate) fn channel() -> (Inputs, UnboundedReceiver<Input>) {
+    let (sender, receiver) = mpsc::unbounded_channel();
+    (Inputs(sender), receiver)
+}
+
+/// How a call ended.
+#[derive(Debug)]
+pub(crate) struct CallEnd {
+    pub number: u64,
+    pub attempt: u32,
+    pub target: TargetId,
+    pub begun: Instant,
+    pub outcome: Outcome,
+    /// The answer says that nothing is owed for the message any more.
+    pub over: bool,
+    /// How long its connection had stood idle before, if it did.
+    pub idle_for: Option<Duration>,
+    /// Nothing is to be sent to the destination until then.
+    pub wait_until: Option<Instant>,
+    pub report: Option<LimitReport>,
+    /// The answer told its outcome and did not come to its end.
+    pub cut_short: bool,
+    /// That of the call.
+    pub era: u32,
+    /// Fit for the next call.
+    pub connection: Option<Connection>,
+}
+
+impl CallEnd {
+    /// The end of a call that began now and told nothing more.
+    pub fn new(number: u64, attempt: u32, target: TargetId, outcome: Outcome, over: bool) -> CallEnd {
+        let begun = Instant::now();
+        let (idle_for, wait_until, report, cut_short, era, connection) = (None, None, None, false, 0, None);
+        CallEnd {
+            number,
+            attempt,
+            target,
+            begun,
+            outcome,
+            over,
+            idle_for,
+            wait_until,
+            report,
+            cut_short,
+            era,
+            connection,
+        }
+    }
+}
+
+/// What an operator may ask for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Ask {
+    /// Whether this process takes clients.
+    Ready,
+    Figures,
+    /// Leave the endpoint of this name out.
+    Disable(String),
+    /// Put it back.
+    Enable(String),
+}
+
+/// What it is told: a status, and a text of lines.
+pub(crate) type Told = (StatusCode, String);
--- a/src/bin/foldtrack/last_list.rs
+++ b/src/bin/foldtrack/last_list.rs
@@ -1,7 +1,7 @@
 //! The list that discovery told last, in a file that outlasts the process. What it drained binds the next process from
 //! its first moment, also while discovery is silent; the configuration's list may be older.
 
-use crate::platform::{ServerLine, ServerList, ServerState};
+use hatchline::discovery::list::{ServerLine, ServerList, ServerState};
 use std::collections::BTreeMap;
 use std::fs;
 use std::io;
--- a/src/bin/foldtrack/main.rs
+++ b/src/bin/foldtrack/main.rs
@@ -5,7 +5,9 @@
 mod clients;
 mod clock;
 mod config;
+mod connection;
 mod door;
+mod events;
 mod figures;
 mod journal;
 mod last_list;
@@ -23,14 +25,14 @@
 mod upgrade;
 
 use config::Config;
-use node::Input;
+use events::Input;
 use relay::Rest;
 use std::os::unix::process::CommandExt;
 use std::process::{Command, ExitCode};
 use tokio::signal::unix::{signal, SignalKind};
 
 async fn run(config: Config) -> Result<Rest, String> {
-    let (inputs, receiver) = node::channel();
+    let (inputs, receiver) = events::channel();
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
     let to_node = inputs.clone();
     tokio::spawn(async move {
--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -4,20 +4,22 @@
 use crate::clients::{self, Desk};
 use crate::clock::Clock;
 use crate::config::Config;
-use crate::door::{self, Ask, Told};
+use crate::door;
+use crate::events::{Answer, Ask, CallEnd, Input, Inputs, Receipt, Stage, Told};
 use crate::figures::{Ended, Figures};
 use crate::journal::{Fate, Journal, Notice, Record, Restored};
 use crate::last_list::{self, LastList};
 use crate::message::{order_key, Message};
 use crate::out::{self, TakenOut};
 use crate::places::Places;
-use crate::platform::{self, Reports, ServerList, ServerState};
+use crate::platform::{self, Reports};
 use crate::relay::Rest;
 use crate::strain::Strain;
 use crate::tally::{Standing, Tally, Untried};
-use crate::targets::{self, Call, CallEnd, IdleConnections};
+use crate::targets::{self, Call, IdleConnections};
 use crate::turnstile::Turnstile;
 use crate::upgrade::{self, Lock, Start};
+use hatchline::discovery::list::{ServerList, ServerState};
 use hatchline::settings::Parsed;
 use hatchline::{Action, Brain, Endpoint, EndpointState, Event, ListKind, Micros, Outcome, TargetId};
 use hyper::StatusCode;
@@ -30,7 +32,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::{oneshot, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep_until, timeout, Instant};
@@ -53,109 +55,6 @@
 const FIRST_LIST: Duration = Duration::from_millis(250);
 const SWEEP: Duration = Duration::from_secs(1);
 
-/// How far the process is from its end.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Stage {
-    Serving,
-    /// Told to end: answers close their connections.
-    Draining,
-    /// The same, and nothing is accepted any more: a successor does that.
-    Succeeded,
-    /// Nothing is accepted any more, and idle connections close.
-    Closing,
-}
-
-impl Stage {
-    /// Whether new connections are accepted.
-    pub fn accepts(self) -> bool {
-        matches!(self, Stage::Serving | Stage::Draining)
-    }
-}
-
-/// What a client is told.
-pub(crate) enum Answer {
-    TakenOn(Receipt),
-    Refused { retry_in_ms: u64 },
-}
-
-/// Tells the node, when it is dropped, whether the client's answer has been written.
-pub(crate) struct Receipt {
-    number: u64,
-    inputs: Inputs,
-    pub written: bool,
-}
-
-impl Receipt {
-    pub fn new(number: u64, inputs: Inputs) -> Receipt {
-        Receipt { number, inputs, written: false }
-    }
-
-    pub fn number(&self) -> u64 {
-        self.number
-    }
-}
-
-impl Drop for Receipt {
-    fn drop(&mut self) {
-        self.inputs.send(Input::Answered { number: self.number, written: self.written });
-    }
-}
-
-/// What happens to the node.
-pub(crate) enum Input {
-    HandIn {
-        message: Arc<Message>,
-        reply: oneshot::Sender<Answer>,
-    },
-    Answered {
-        number: u64,
-        written: bool,
-    },
-    /// A message of this class was refused before it was handed in, for want of time.
-    TurnedAway {
-        class: usize,
-    },
-    CallEnded(CallEnd),
-    List(ServerList),
-    /// Notices were taken.
-    Reported {
-        numbers: Vec<u64>,
-    },
-    /// Discovery is found there from now on.
-    Discovery(SocketAddr),
-    /// A call's connection stands: may it be written still?
-    Connected {
-        number: u64,
-        attempt: u32,
-        target: TargetId,
-        go: oneshot::Sender<bool>,
-    },
-    /// A message of this class has been written whole to an endpoint.
-    Written {
-        class: usize,
-    },
-    /// A call at the door.
-    Operator {
-        ask: Ask,
-        reply: oneshot::Sender<Told>,
-    },
-    /// Another process would take over.
-    Successor(UnixStream),
-    Terminate,
-}
-
-/// The way to the node. The queue has no bound of its own: each connection and each call has one input under
-/// way, and connections and calls are bounded.
-#[derive(Clone)]
-pub(crate) struct Inputs(UnboundedSender<Input>);
-
-impl Inputs {
-    pub fn send(&self, input: Input) {
-        // The node is gone only when the process ends.
-        let _ = self.0.send(input);
-    }
-}
-
 /// How far the client has been told that its message is taken on.
 enum Taken {
     /// Not at all: the module may refuse it yet.
@@ -246,12 +145,6 @@
     actions: Vec<Action>,
 }
 
-/// The channel to a node that is yet to run.
-pub(crate) fn channel() -> (Inputs, UnboundedReceiver<Input>) {
-    let (sender, receiver) = mpsc::unbounded_channel();
-    (Inputs(sender), receiver)
-}
-
 /// Takes over from the process that runs, or restores what the journal holds; then serves until it is told to end,
 /// or has handed over and has nothing left to do.
 pub(crate) async fn run(
--- a/src/bin/foldtrack/node/succession.rs
+++ b/src/bin/foldtrack/node/succession.rs
@@ -3,9 +3,9 @@
 use super::{Held, Node, Out, Server, Stage, Taken, Waiting, ACCEPT_ON, END_BY};
 use crate::clock::Clock;
 use crate::config::Config;
+use crate::events::Inputs;
 use crate::journal::Restored;
 use crate::message::Message;
-use crate::node::Inputs;
 use crate::relay::{LeftCall, Predecessor, Remainder};
 use crate::upgrade::{self, Estate, HeldState, Offer};
 use hatchline::{Brain, Event, TargetId};
--- a/src/bin/foldtrack/platform.rs
+++ b/src/bin/foldtrack/platform.rs
@@ -1,16 +1,15 @@
 //! The platform's agent: a watch on the list of targets, and reports on how messages ended.
 
-use crate::node::{Input, Inputs};
-use crate::targets::{Connection, Payload};
+use crate::connection::{Connection, Payload};
+use crate::events::{Input, Inputs};
 use bytes::Bytes;
+use hatchline::discovery::list::ServerList;
 use hatchline::Settings;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONNECTION, CONTENT_TYPE, HOST};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use serde::{Deserialize, Deserializer, Serialize};
-use serde_json::Value;
 use std::future::{poll_fn, Future};
 use std::io;
 use std::net::SocketAddr;
@@ -63,47 +62,6 @@
 /// What the agent says to a notice is its status.
 const LONGEST_ANSWER: usize = 64 * 1024;
 
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
-pub(crate) struct ServerList {
-    pub version: u64,
-    #[serde(default)]
-    pub full: bool,
-    #[serde(default, deserialize_with = "readable")]
-    pub servers: Vec<ServerLine>,
-}
-
-/// Guards the rest of a list, drains among it, against a line that cannot be read.
-fn readable<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<ServerLine>, D::Error> {
-    let lines = Vec::<Value>::deserialize(deserializer)?;
-    let read = |line: Value| {
-        let text = line.to_string();
-        serde_json::from_value(line).inspect_err(|e| eprintln!("discovery: {text} is passed over: {e}")).ok()
-    };
-    Ok(lines.into_iter().filter_map(read).collect())
-}
-
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub(crate) struct ServerLine {
-    pub id: String,
-    pub addr: SocketAddr,
-    #[serde(default)]
-    pub zone: String,
-    #[serde(default)]
-    pub kind: String,
-    pub cell: u32,
-    pub state: ServerState,
-    #[serde(default)]
-    pub weight: f64,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
-#[serde(rename_all = "lowercase")]
-pub(crate) enum ServerState {
-    Active,
-    Leaving,
-    Left,
-}
-
 /// An exchange with the agent; the connection is kept in `connection` unless it failed.
 async fn exchange(
     connection: &mut Option<Connection>, address: SocketAddr, request: Request<Payload>,
--- a/src/bin/foldtrack/relay.rs
+++ b/src/bin/foldtrack/relay.rs
@@ -1,13 +1,11 @@
 //! What a new version and the old process tell each other from the takeover until the old one has ended.
 
 use crate::clock::Clock;
-use crate::door::Ask;
+use crate::events::{Answer, Ask, CallEnd, Input, Inputs, Receipt, Stage};
 use crate::figures::{Ended, Figures};
 use crate::journal::Accepted;
 use crate::message::Message;
-use crate::node::{Answer, Input, Inputs, Receipt, Stage};
 use crate::places::Places;
-use crate::targets::CallEnd;
 use crate::upgrade::{frame, length_of};
 use hatchline::settings::Parsed;
 use hatchline::{LimitReport, Outcome, Pool, TargetId};
@@ -328,7 +326,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::node;
+    use crate::events;
     use serde_json::json;
 
     /// What it refuses for want of time its clients have heard from it: it counts there.
@@ -341,7 +339,7 @@
             calls: BTreeMap::new(),
             figures: Figures::new(&settings.class_names),
             pool: Pool::default(),
-            inputs: node::channel().0,
+            inputs: events::channel().0,
             settings,
             clock: Clock::new(),
             stage: watch::Sender::new(Stage::Succeeded),
--- a/src/bin/foldtrack/upgrade.rs
+++ b/src/bin/foldtrack/upgrade.rs
@@ -1,6 +1,6 @@
 //! A new version takes over from the one that runs: who owns the log, and the exchange in which that changes hands.
 
-use crate::node::{Input, Inputs};
+use crate::events::{Input, Inputs};
 use hatchline::settings::Parsed;
 use hatchline::{Micros, TargetId};
 use rustix::net::{RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags};
--- /dev/null
+++ b/src/discovery.rs
@@ -0,0 +1,3 @@
+//! Service discovery: the list of endpoints as it is served over HTTP, and a client that follows its changes.
+
+pub mod list;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 
 mod brain;
 mod by_hand;
+pub mod discovery;
 mod handover;
 pub mod interface;
 pub mod settings;
