Make the discovery client a library module over a small transport

The watch on the list stood in the binary beside the reports, tied to its connections, its events and the global random numbers, so that nothing but the forwarder could run it. hatchline::discovery now holds it, generic over a transport (one exchange) and over what gets its events, with a seeded generator. The binary plugs in its HTTP connection (discovery_client.rs); the reports are left in report_client.rs, with their tests in a file of their own.

Tests: tests/discovery.rs runs the client in paused time; one in tests/forwarder compares the bytes on a socket with those that the library states.

--- /dev/null
+++ b/src/bin/foldtrack/discovery_client.rs
@@ -0,0 +1,77 @@
+//! The discovery client of the forwarder: over one HTTP connection, kept between exchanges unless one fails, with news
+//! to the node.
+
+use crate::connection::{Connection, Payload};
+use crate::events::{Input, Inputs};
+use bytes::Bytes;
+use hatchline::discovery::{Client, ClientOptions, DiscoveryEvent};
+use hatchline::discovery::{ListRequest, Reply, Transport, TransportError};
+use hatchline::Settings;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HOST};
+use hyper::{Request, Response};
+use std::net::SocketAddr;
+
+/// Bytes of the longest list that is read.
+const LONGEST_LIST: usize = 4 << 20;
+
+/// A client that tells the node of each list. The caller runs it.
+pub(crate) fn client(
+    settings: &Settings, inputs: Inputs,
+) -> Client<HttpTransport, impl FnMut(DiscoveryEvent) + Send> {
+    let on_event = move |event| match event {
+        DiscoveryEvent::List(list) => inputs.send(Input::List(list)),
+        DiscoveryEvent::UnusableReply { status, error } => {
+            let reason = error.map_or_else(|| "no list".to_string(), |error| error.to_string());
+            eprintln!("discovery: status {status}, {reason}");
+        }
+    };
+    Client::new(HttpTransport::default(), on_event, ClientOptions::from(settings), fastrand::Rng::new())
+}
+
+/// Exchanges with discovery over HTTP.
+#[derive(Debug, Default)]
+pub(crate) struct HttpTransport {
+    connection: Option<Connection>,
+}
+
+impl Transport for HttpTransport {
+    async fn exchange(
+        &mut self, address: SocketAddr, request: &ListRequest,
+    ) -> Result<Reply, TransportError> {
+        let request = http_request(address, request)?;
+        let mut connection = match self.connection.take() {
+            Some(connection) => connection,
+            None => Connection::open(address, |_| ()).await.map_err(TransportError::Connect)?,
+        };
+        let response = connection.send(request).await.map_err(|_| TransportError::Interrupted)?;
+        let status = response.status();
+        if closes_connection(&response) {
+            let body = Limited::new(response.into_body(), LONGEST_LIST).collect().await;
+            let body = body.map_err(|_| TransportError::Interrupted)?.to_bytes();
+            return Ok(Reply { status, body });
+        }
+        let body = connection.finish(response.into_body(), LONGEST_LIST).await;
+        let body = body.ok_or(TransportError::Interrupted)?;
+        self.connection = Some(connection);
+        Ok(Reply { status, body })
+    }
+
+    fn disconnect(&mut self) {
+        self.connection = None;
+    }
+}
+
+fn http_request(address: SocketAddr, request: &ListRequest) -> Result<Request<Payload>, TransportError> {
+    Request::get(request.path())
+        .header(HOST, address.to_string())
+        .body(Payload::uncounted(Bytes::new()))
+        .map_err(|_| TransportError::InvalidRequest)
+}
+
+/// Whether the reply is the last on its connection.
+fn closes_connection(response: &Response<Incoming>) -> bool {
+    let connection = response.headers().get(CONNECTION);
+    connection.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
+}
--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -4,6 +4,7 @@
 use crate::clients::{self, Desk};
 use crate::clock::Clock;
 use crate::config::Config;
+use crate::discovery_client;
 use crate::door;
 use crate::events::{Answer, Ask, CallEnd, Input, Inputs, Receipt, Stage, Told};
 use crate::figures::{Ended, Figures};
@@ -12,8 +13,8 @@
 use crate::message::{order_key, Message};
 use crate::out::{self, TakenOut};
 use crate::places::Places;
-use crate::platform::{self, Reports};
 use crate::relay::Rest;
+use crate::report_client::ReportClient;
 use crate::strain::Strain;
 use crate::tally::{Standing, Tally, Untried};
 use crate::targets::{self, Call, IdleConnections};
@@ -119,7 +120,7 @@
     /// Ends that the platform has not taken yet, and which of them are to be sent now.
     notices: BTreeMap<u64, Ending>,
     unsent: BTreeSet<u64>,
-    reports: Reports,
+    reports: ReportClient,
     /// By message and attempt.
     calls: BTreeMap<(u64, u32), Out>,
     idle: IdleConnections,
@@ -163,10 +164,9 @@
             },
         }
     };
-    let (discovery, told, known) = (node.discovery.subscribe(), inputs.clone(), config.known);
-    let parsed = node.settings.clone();
+    let discovery_client = discovery_client::client(&node.settings.settings, inputs.clone());
     let watching =
-        tokio::spawn(async move { platform::watch(discovery, &parsed.settings, &known, told).await });
+        tokio::spawn(discovery_client.run(node.discovery.subscribe(), config.known.known_version()));
     let mut batch = Vec::new();
     let listener = match listener {
         Some(listener) => TcpListener::from_std(listener)?,
@@ -230,7 +230,7 @@
             settings: config.settings.clone(),
             journal,
             inputs: inputs.clone(),
-            reports: Reports::new(discovery.subscribe()),
+            reports: ReportClient::new(discovery.subscribe()),
             discovery,
             next_number: restored.last_key_value().map_or(1, |(number, _)| number + 1),
             messages: BTreeMap::new(),
--- a/src/discovery/list.rs
+++ b/src/discovery/list.rs
@@ -17,6 +17,13 @@
     pub servers: Vec<ServerLine>,
 }
 
+impl ServerList {
+    /// The version from which changes to this list may be asked for; none for a list without endpoints.
+    pub fn known_version(&self) -> Option<u64> {
+        Some(self.version).filter(|_| !self.servers.is_empty())
+    }
+}
+
 /// Guards the rest of a list, drains among it, against an entry that cannot be read.
 fn readable_entries<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<ServerLine>, D::Error> {
     let entries = Vec::<Value>::deserialize(deserializer)?;
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -5,6 +5,7 @@
 mod upgrade;
 mod world;
 
+use hatchline::discovery::ListRequest;
 use std::fs;
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
@@ -222,6 +223,26 @@
     assert!(old.seen().is_empty());
 }
 
+/// Simulations count these bytes.
+#[test]
+fn calls_to_discovery_have_the_wire_form_that_the_library_states() {
+    let platform = Platform::start(Vec::new());
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let _forwarder = Forwarder::start_with(&platform, |c| {
+        c["discovery"] = address.to_string().into();
+        c["known"]["servers"] = serde_json::json!([line("s-1", address, 1, "active")]);
+    });
+    let mut stream = listener.accept().unwrap().0;
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    for request in [ListRequest::Watch { since: 1, wait: MS(1_000) }, ListRequest::WholeList] {
+        let mut bytes = vec![0; request.wire_form(address).len()];
+        stream.read_exact(&mut bytes).unwrap();
+        assert_eq!(String::from_utf8_lossy(&bytes), request.wire_form(address));
+        stream.write_all(b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n").unwrap();
+    }
+}
+
 /// Found on fleets of 48: their calls, made again at once, kept discovery too busy to answer any of them.
 #[test]
 fn a_discovery_that_turns_calls_away_is_left_alone_for_a_while() {
