Type the admin server's requests and responses

Ask and Told said little, and Told was a pair of a status and a text. They are AdminRequest and AdminResponse, and the node's event is Admin. No change of behaviour.

--- a/src/bin/foldtrack/door.rs
+++ b/src/bin/foldtrack/door.rs
@@ -1,7 +1,7 @@
 //! The door for operators: HTTP at an address of its own, one call to a connection. It decides nothing: a call that
 //! takes an endpoint out or puts it back becomes an event of the node, which answers it.
 
-use crate::events::{Ask, Input, Inputs, Told};
+use crate::events::{AdminRequest, AdminResponse, Input, Inputs};
 use crate::places::{Place, Places};
 use crate::streams;
 use bytes::Bytes;
@@ -85,12 +85,12 @@
     request: Request<Incoming>, inputs: &Inputs, place: &Place, due: Instant,
 ) -> Response<Full<Bytes>> {
     place.settle();
-    let (status, text) = match understand(request.method(), request.uri().path()) {
-        Ok(ask) => match read_body(request.into_body()).await {
-            Ok(()) => put(ask, inputs, due).await,
-            Err(status) => (status, String::new()),
+    let AdminResponse { status, text } = match understand(request.method(), request.uri().path()) {
+        Ok(asked) => match read_body(request.into_body()).await {
+            Ok(()) => put(asked, inputs, due).await,
+            Err(status) => AdminResponse::new(status, ""),
         },
-        Err(Wrong::Unknown) => (StatusCode::NOT_FOUND, String::new()),
+        Err(Wrong::Unknown) => AdminResponse::new(StatusCode::NOT_FOUND, ""),
         Err(Wrong::Method(allowed)) => {
             let mut response = Response::new(Full::default());
             *response.status_mut() = StatusCode::METHOD_NOT_ALLOWED;
@@ -111,23 +111,23 @@
     Method(&'static str),
 }
 
-fn understand(method: &Method, path: &str) -> Result<Ask, Wrong> {
+fn understand(method: &Method, path: &str) -> Result<AdminRequest, Wrong> {
     let rest = path.strip_prefix("/-/").ok_or(Wrong::Unknown)?;
-    let (ask, wanted) = match rest {
-        "ready" => (Ask::Ready, Method::GET),
-        "metrics" => (Ask::Figures, Method::GET),
+    let (request, wanted) = match rest {
+        "ready" => (AdminRequest::Ready, Method::GET),
+        "metrics" => (AdminRequest::Metrics, Method::GET),
         _ => {
             let named = rest.strip_prefix("endpoints/").and_then(|rest| rest.rsplit_once('/'));
             let (id, verb) = named.filter(|(id, _)| !id.is_empty()).ok_or(Wrong::Unknown)?;
             match verb {
-                "disable" => (Ask::Disable(id.to_string()), Method::POST),
-                "enable" => (Ask::Enable(id.to_string()), Method::POST),
+                "disable" => (AdminRequest::Disable(id.to_string()), Method::POST),
+                "enable" => (AdminRequest::Enable(id.to_string()), Method::POST),
                 _ => return Err(Wrong::Unknown),
             }
         }
     };
     if *method == wanted {
-        return Ok(ask);
+        return Ok(request);
     }
     Err(Wrong::Method(if wanted == Method::GET { "GET" } else { "POST" }))
 }
@@ -146,12 +146,12 @@
 }
 
 /// An answer that is not awaited any more is no, and its call has no effect.
-async fn put(ask: Ask, inputs: &Inputs, due: Instant) -> Told {
+async fn put(request: AdminRequest, inputs: &Inputs, due: Instant) -> AdminResponse {
     let (reply, told) = oneshot::channel();
-    inputs.send(Input::Operator { ask, reply });
+    inputs.send(Input::Admin { request, reply });
     match timeout_at(due, told).await {
         Ok(Ok(told)) => told,
-        _ => (StatusCode::SERVICE_UNAVAILABLE, "not at present\n".into()),
+        _ => AdminResponse::new(StatusCode::SERVICE_UNAVAILABLE, "not at present\n"),
     }
 }
 
@@ -163,10 +163,10 @@
     fn only_the_calls_of_the_page_are_understood() {
         let get = |path| understand(&Method::GET, path);
         let post = |path| understand(&Method::POST, path);
-        assert_eq!(get("/-/ready"), Ok(Ask::Ready));
-        assert_eq!(get("/-/metrics"), Ok(Ask::Figures));
-        assert_eq!(post("/-/endpoints/s-1/disable"), Ok(Ask::Disable("s-1".into())));
-        assert_eq!(post("/-/endpoints/s-1/enable"), Ok(Ask::Enable("s-1".into())));
+        assert_eq!(get("/-/ready"), Ok(AdminRequest::Ready));
+        assert_eq!(get("/-/metrics"), Ok(AdminRequest::Metrics));
+        assert_eq!(post("/-/endpoints/s-1/disable"), Ok(AdminRequest::Disable("s-1".into())));
+        assert_eq!(post("/-/endpoints/s-1/enable"), Ok(AdminRequest::Enable("s-1".into())));
         assert_eq!(get("/-/endpoints/s-1/enable"), Err(Wrong::Method("POST")));
         assert_eq!(post("/-/metrics"), Err(Wrong::Method("GET")));
         for path in ["/", "/-/", "/-/endpoints", "/-/endpoints/disable", "/-/endpoints//disable", "/-/readyz"]
--- a/src/bin/foldtrack/events.rs
+++ b/src/bin/foldtrack/events.rs
@@ -95,10 +95,10 @@
     Written {
         class: usize,
     },
-    /// A call at the door.
-    Operator {
-        ask: Ask,
-        reply: oneshot::Sender<Told>,
+    /// A request to the admin server.
+    Admin {
+        request: AdminRequest,
+        reply: oneshot::Sender<AdminResponse>,
     },
     /// Another process would take over.
     Successor(UnixStream),
@@ -170,15 +170,26 @@
 
 /// What an operator may ask for.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Ask {
+pub(crate) enum AdminRequest {
     /// Whether this process takes clients.
     Ready,
-    Figures,
-    /// Leave the endpoint of this name out.
+    Metrics,
+    /// Exclude the endpoint of this name.
     Disable(String),
-    /// Put it back.
+    /// Re-admit it.
     Enable(String),
 }
 
-/// What it is told: a status, and a text of lines.
-pub(crate) type Told = (StatusCode, String);
+/// What the operator is answered.
+#[derive(Debug)]
+pub(crate) struct AdminResponse {
+    pub status: StatusCode,
+    /// Text of whole lines, or none.
+    pub text: String,
+}
+
+impl AdminResponse {
+    pub fn new(status: StatusCode, text: impl Into<String>) -> AdminResponse {
+        AdminResponse { status, text: text.into() }
+    }
+}
--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -6,7 +6,7 @@
 use crate::config::Config;
 use crate::discovery_client;
 use crate::door;
-use crate::events::{Answer, Ask, CallEnd, Input, Inputs, Receipt, Stage, Told};
+use crate::events::{AdminRequest, AdminResponse, Answer, CallEnd, Input, Inputs, Receipt, Stage};
 use crate::figures::{Ended, Figures};
 use crate::journal::{Fate, Journal, Notice, Record, Restored};
 use crate::last_list::{self, LastList};
@@ -344,9 +344,9 @@
             }
             Input::Written { class } => self.figures.tried(class),
             // One that nobody awaits any more has been answered no.
-            Input::Operator { reply, .. } if reply.is_closed() => {}
-            Input::Operator { ask, reply } => {
-                let _ = reply.send(self.operator(ask));
+            Input::Admin { reply, .. } if reply.is_closed() => {}
+            Input::Admin { request, reply } => {
+                let _ = reply.send(self.admin(request));
             }
             Input::Discovery(address) => {
                 eprintln!("discovery is at {address} from now on");
@@ -399,27 +399,31 @@
         self.handle(Event::List { kind, version, endpoints });
     }
 
-    fn operator(&mut self, ask: Ask) -> Told {
+    fn admin(&mut self, request: AdminRequest) -> AdminResponse {
         let serving = self.accepting && *self.stage.borrow() == Stage::Serving;
-        match ask {
-            Ask::Ready if serving => (StatusCode::OK, "ready\n".into()),
-            Ask::Ready => (StatusCode::SERVICE_UNAVAILABLE, "clients are not taken\n".into()),
-            Ask::Figures => (StatusCode::OK, self.figures.text(self.messages.len(), self.policy.pool())),
-            Ask::Disable(name) => self.by_hand(&name, true),
-            Ask::Enable(name) => self.by_hand(&name, false),
+        match request {
+            AdminRequest::Ready if serving => AdminResponse::new(StatusCode::OK, "ready\n"),
+            AdminRequest::Ready => {
+                AdminResponse::new(StatusCode::SERVICE_UNAVAILABLE, "clients are not taken\n")
+            }
+            AdminRequest::Metrics => {
+                AdminResponse::new(StatusCode::OK, self.figures.text(self.messages.len(), self.policy.pool()))
+            }
+            AdminRequest::Disable(name) => self.by_hand(&name, true),
+            AdminRequest::Enable(name) => self.by_hand(&name, false),
         }
     }
 
     /// Takes an endpoint out, or puts it back; the yes means that this outlasts the process.
-    fn by_hand(&mut self, name: &str, out: bool) -> Told {
+    fn by_hand(&mut self, name: &str, out: bool) -> AdminResponse {
         let target = self.target_ids.get(name).copied();
         let was_out = self.taken_out.contains(name);
         if !was_out && !target.is_some_and(|target| self.policy.lists(target)) {
-            return (StatusCode::NOT_FOUND, "no such endpoint\n".into());
+            return AdminResponse::new(StatusCode::NOT_FOUND, "no such endpoint\n");
         }
         if let Err(error) = self.taken_out.note(name, out) {
             eprintln!("admin: {name} stays as it is: {error}");
-            return (StatusCode::INSUFFICIENT_STORAGE, format!("{error}\n"));
+            return AdminResponse::new(StatusCode::INSUFFICIENT_STORAGE, format!("{error}\n"));
         }
         let state = if out { "out" } else { "in" };
         if let Some(target) = target.filter(|_| was_out != out) {
@@ -427,7 +431,7 @@
             self.servers[target as usize].era += 1;
             self.handle(Event::ByHand { target, out });
         }
-        (StatusCode::OK, format!("{name} is {state}\n"))
+        AdminResponse::new(StatusCode::OK, format!("{name} is {state}\n"))
     }
 
     /// Takes over what the journal holds of a message.
--- a/src/bin/foldtrack/relay.rs
+++ b/src/bin/foldtrack/relay.rs
@@ -1,7 +1,7 @@
 //! What a new version and the old process tell each other from the takeover until the old one has ended.
 
 use crate::clock::Clock;
-use crate::events::{Answer, Ask, CallEnd, Input, Inputs, Receipt, Stage};
+use crate::events::{AdminRequest, AdminResponse, Answer, CallEnd, Input, Inputs, Receipt, Stage};
 use crate::figures::{Ended, Figures};
 use crate::journal::Accepted;
 use crate::message::Message;
@@ -296,10 +296,14 @@
             }
             Input::Written { class } => self.figures.tried(class),
             Input::TurnedAway { class } => self.figures.ended(class, Ended::Shed),
-            Input::Operator { ask, reply } => {
-                let _ = reply.send(match ask {
-                    Ask::Figures => (StatusCode::OK, self.figures.text(0, self.pool)),
-                    _ => (StatusCode::SERVICE_UNAVAILABLE, "a new version has taken over\n".into()),
+            Input::Admin { request, reply } => {
+                let _ = reply.send(match request {
+                    AdminRequest::Metrics => {
+                        AdminResponse::new(StatusCode::OK, self.figures.text(0, self.pool))
+                    }
+                    _ => {
+                        AdminResponse::new(StatusCode::SERVICE_UNAVAILABLE, "a new version has taken over\n")
+                    }
                 });
             }
             // The successor watches the list, sends the notices, and reads the configuration itself.
