Hold unsafe messages back only while something else can try their route

Cause: best_send withheld unsafe messages from a route with failing above LOSSY for an aim after each judged call, and failing falls only with judged calls. One reset makes a route lossy; where all messages are unsafe none was judged, so that each one waited an aim or more, one call went per aim, and the room filled (calls out 0, some 60 held a forwarder).

Change: they wait only while a message that may be repeated stands ready for the route, is out on it, or is to come within an aim by what came lately for this route. Where nothing else will try it they go themselves; to an open breaker one at a time, a call past all that is usual not counted; and to a route that fails only if none that works takes them. Their share of a route's requests is kept by route: what other destinations get finds out nothing for this one. Figures of classes moved to Settings.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -8,6 +8,9 @@
 
 /// A point in time or a span, in microseconds.
 pub type Micros = u64;
+/// Aim and deadline where the settings name no class, in microseconds.
+const DEFAULT_AIM: Micros = 1_000_000;
+const DEFAULT_DEADLINE: Micros = 100_000;
 /// A message, named by the caller; never used twice.
 pub type MessageId = u64;
 /// An endpoint of a destination, named by the caller.
@@ -150,6 +153,41 @@
     pub tick: Micros,
 }
 
+impl Settings {
+    /// The shortest aim of all classes, in microseconds.
+    pub(crate) fn least_aim(&self) -> f64 {
+        self.classes.iter().map(|class| class.aim).min().unwrap_or(DEFAULT_AIM) as f64
+    }
+
+    /// The longest deadline of all classes, in microseconds.
+    pub(crate) fn longest_deadline(&self) -> f64 {
+        self.classes.iter().map(|class| class.deadline).max().unwrap_or(DEFAULT_DEADLINE).max(1) as f64
+    }
+
+    /// What a message of a class is worth on the mean.
+    pub(crate) fn mean_worth(&self) -> f64 {
+        self.classes.iter().map(|class| class.worth).sum::<f64>() / self.classes.len() as f64
+    }
+
+    /// What a message of the class of most worth earns.
+    pub(crate) fn most_worth(&self) -> f64 {
+        self.classes.iter().map(|class| class.worth).fold(0.0, f64::max)
+    }
+
+    /// What a message of a class earns if it is delivered at this age, in microseconds.
+    pub(crate) fn value(&self, class: usize, age: f64) -> f64 {
+        let class = &self.classes[class];
+        let (aim, deadline) = (class.aim as f64, class.deadline as f64);
+        let share = match self.decay {
+            _ if age <= aim => 1.0,
+            _ if age > deadline => 0.0,
+            Decay::Linear => 1.0 - (1.0 - class.late_value) * (age - aim) / (deadline - aim).max(1.0),
+            Decay::Halving => (0.5f64).powf((age - aim) / aim.max(1.0)).max(class.late_value),
+        };
+        class.worth * share
+    }
+}
+
 /// State of an endpoint in the list, in the order in which it leaves. It tells nothing of health.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
 pub enum EndpointState {
--- a/src/policy/messages.rs
+++ b/src/policy/messages.rs
@@ -15,14 +15,18 @@
         m.born = expires.saturating_sub(c.deadline);
         self.arrived[m.class] += 1.0;
         m.order_key *= u64::from(c.in_order);
-        let order_key = m.order_key;
+        let (order_key, destination, repeatable) = (m.order_key, m.destination, c.effect != Effect::Unsafe);
         self.messages.insert(id, m);
         self.message_timers.insert((self.give_up_at(expires), id));
         if order_key != 0 {
             self.order_queues.entry(order_key).or_default().0.push_back(id);
         }
-        if let Some(d) = self.destinations.get(&self.messages[&id].destination) {
-            d.routes.iter().for_each(|l| self.routes[*l].recent_requests += 1.0 / d.routes.len() as f64);
+        if let Some(d) = self.destinations.get(&destination) {
+            let part = 1.0 / d.routes.len() as f64;
+            for route in &d.routes {
+                self.routes[*route].recent_requests += part;
+                self.routes[*route].recent_repeatable += if repeatable { part } else { 0.0 };
+            }
         }
         self.enqueue(id);
     }
@@ -57,7 +61,7 @@
         let since = longest.into_iter().flat_map(|d| &d.ready).filter(|((.., found), _)| !found);
         let oldest = since.filter_map(|((c, ..), set)| {
             let (born, id) = set.first()?;
-            Some((self.value(*c, self.now.saturating_sub(*born) as f64), *id))
+            Some((self.settings.value(*c, self.now.saturating_sub(*born) as f64), *id))
         });
         if let Some((_, id)) = oldest.min_by(|a, b| a.0.total_cmp(&b.0)) {
             self.give_up(id);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -119,7 +119,7 @@
             delivered,
             ..DeliveryPolicy::default()
         };
-        DeliveryPolicy { retry_jitter: fresh.even_interval().min(fresh.least_aim()), ..fresh }
+        DeliveryPolicy { retry_jitter: fresh.even_interval().min(fresh.settings.least_aim()), ..fresh }
     }
 
     /// Takes in one thing that happened. Sends are chosen in [`DeliveryPolicy::decide`].
@@ -167,14 +167,6 @@
         self.out.extend((self.logged <= 100).then_some(Action::Log { text }));
     }
 
-    fn least_aim(&self) -> f64 {
-        self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(1_000_000) as f64
-    }
-
-    fn longest_deadline(&self) -> f64 {
-        self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(MAINTENANCE_INTERVAL).max(1) as f64
-    }
-
     /// Chooses what is sent now. Call it once after the last event of a moment.
     pub fn decide(&mut self, now: Micros, out: &mut Vec<Action>) {
         self.now = now;
@@ -231,13 +223,14 @@
     fn maintain(&mut self) {
         self.maintenance_at = self.now + MAINTENANCE_INTERVAL;
         self.order_queues.retain(|_, (line, rest)| !line.is_empty() || *rest > self.now);
-        let keep = 0.5f64.powf(MAINTENANCE_INTERVAL as f64 / self.longest_deadline());
+        let keep = 0.5f64.powf(MAINTENANCE_INTERVAL as f64 / self.settings.longest_deadline());
         self.averaging_window = self.averaging_window * keep + MAINTENANCE_INTERVAL as f64 / SECOND;
         self.arrived.iter_mut().chain(&mut self.delivered).for_each(|n| *n *= keep);
         for route in 0..self.routes.len() {
             let l = &mut self.routes[route];
             l.times.age(keep);
             l.recent_requests *= keep;
+            l.recent_repeatable *= keep;
             if l.times.answers >= WARM_UP {
                 // A resend throws work away and does it again: its cost c is a mean answer.
                 l.times.retune(l.times.mean());
--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -65,7 +65,7 @@
     pub(super) fn judge(&mut self, route: usize, target: TargetId, end: &End) {
         let End { outcome, sent, report, planned, .. } = *end;
         let jitter = 1.0 + self.random();
-        let (least_aim, deadline) = (self.least_aim(), self.longest_deadline());
+        let (least_aim, deadline) = (self.settings.least_aim(), self.settings.longest_deadline());
         let least_rate = f64::from(self.settings.max_attempts) * SECOND / deadline;
         let (own_rate, probe_interval) =
             (self.own_rate(route), self.probe_interval(route, self.now.max(self.routes[route].wait_until)));
@@ -74,7 +74,7 @@
             self.retry_jitter = self
                 .retry_jitter
                 .min(self.even_interval())
-                .min(self.longest_deadline())
+                .min(self.settings.longest_deadline())
                 .max(MAINTENANCE_INTERVAL as f64);
         }
         let (spread, even, half_aim) = (self.retry_jitter, self.even_interval(), least_aim / 2.0);
@@ -221,7 +221,7 @@
     /// The next comes after a pause that grows, and for long each is closed after use: kept ones fill the
     /// table again, idle. Guards the many that share it; costs a handshake a call.
     pub(super) fn crowded(&mut self, route: usize, target: TargetId, half_open: bool, sent: Micros) {
-        let (jitter, longest) = (0.5 + self.random(), self.least_aim() / 2.0);
+        let (jitter, longest) = (0.5 + self.random(), self.settings.least_aim() / 2.0);
         let l = &mut self.routes[route];
         let Some(t) = self.targets.get_mut(&target) else { return };
         let first = l.times.mean().max((self.now - sent) as f64);
@@ -233,7 +233,7 @@
 
     /// A destination looks out: nothing but single half-open probes until one is answered.
     pub(super) fn open_breaker(&mut self, route: usize) {
-        let least_aim = self.least_aim();
+        let least_aim = self.settings.least_aim();
         let start = self.now.max(self.routes[route].wait_until);
         let (jitter, probe_interval) = (0.5 + self.random(), self.probe_interval(route, start));
         let l = &mut self.routes[route];
@@ -266,7 +266,7 @@
         if t.tau > 0.0 {
             (1.25 * long).max(4.0 * t.mean())
         } else {
-            (3.0 * long).max(self.least_aim())
+            (3.0 * long).max(self.settings.least_aim())
         }
     }
 }
--- a/src/policy/rates.rs
+++ b/src/policy/rates.rs
@@ -55,7 +55,7 @@
             return Err(Micros::MAX); // it would be cut off, and may have run
         }
         let l = &self.routes[route];
-        let (mut rate, mut depth) = (l.rate_limit, l.depth(self.least_aim() / SECOND));
+        let (mut rate, mut depth) = (l.rate_limit, l.depth(self.settings.least_aim() / SECOND));
         if l.opens_at() > self.now {
             return Err(l.opens_at());
         }
--- a/src/policy/selection.rs
+++ b/src/policy/selection.rs
@@ -2,19 +2,10 @@
 
 use super::*;
 
-impl DeliveryPolicy {
-    pub(super) fn value(&self, class: usize, age: f64) -> f64 {
-        let c = &self.settings.classes[class];
-        let (aim, deadline) = (c.aim as f64, c.deadline as f64);
-        let share = match self.settings.decay {
-            _ if age <= aim => 1.0,
-            _ if age > deadline => 0.0,
-            Decay::Linear => 1.0 - (1.0 - c.late_value) * (age - aim) / (deadline - aim).max(1.0),
-            Decay::Halving => (0.5f64).powf((age - aim) / aim.max(1.0)).max(c.late_value),
-        };
-        c.worth * share
-    }
+/// A way for one message: how little it is to be preferred, its route and endpoint, and whether it is a half-open probe.
+type Choice = ((bool, f64, f64), usize, TargetId, bool);
 
+impl DeliveryPolicy {
     /// What a queue sends next, by its worth: the oldest that can still be in time, and where none can be the
     /// newest. Oldest first would hand a backlog's delay on to all that comes after, in time by itself.
     /// What a restart found untried goes before all of its class, what ends first at the head: it is to be
@@ -27,7 +18,7 @@
         let (born, id) = if found { set.first()? } else { in_time.or(set.last())? };
         let age = self.now.saturating_sub(*born) as f64;
         let first = if found { worth } else { 0.0 };
-        Some((first + self.value(class, age) + 1e-6 * age / aim.max(1) as f64, *id))
+        Some((first + self.settings.value(class, age) + 1e-6 * age / aim.max(1) as f64, *id))
     }
 
     /// Whether a class is served far less well than all are. By worth alone one of little worth would get
@@ -55,6 +46,31 @@
         best.map(|(id, _)| *id)
     }
 
+    /// Whether an unsafe message has to wait for a route that fails or is silent: an attempt without an answer
+    /// loses it. It waits an aim, and longer while calls still fail, but only for what else can find out whether
+    /// the route works: a message that may be repeated, or the half-open probe that is out. Where nothing else
+    /// will, it goes itself. Harms the few that find a route out that no other message was risked on.
+    fn is_withheld(&self, m: &Message, d: &Destination, route: usize, half_open: bool) -> bool {
+        let (l, aim) = (&self.routes[route], self.settings.classes[m.class].aim);
+        let patience = self.patience(l);
+        let probes = |c: &Call| c.half_open && (self.now - c.sent) as f64 <= patience;
+        if half_open && l.calls.values().any(probes) {
+            return true;
+        }
+        let lately = l.failing > LOSSY && self.now < l.judged + aim;
+        (self.now < m.born + aim || lately) && self.others_try(d, l, aim)
+    }
+
+    /// Whether a message that may be repeated stands ready for a route, is out on it, or is to come within an
+    /// aim by what has come lately.
+    fn others_try(&self, d: &Destination, l: &Route, aim: Micros) -> bool {
+        let repeatable = |class: usize| self.settings.classes[class].effect != Effect::Unsafe;
+        let to_come = l.recent_repeatable / self.averaging_window.max(1.0) * aim as f64 / SECOND;
+        let may_repeat = |id: &MessageId| self.messages.get(id).is_some_and(|m| repeatable(m.class));
+        let out = |c: &Call| c.messages.iter().any(|(id, _)| may_repeat(id));
+        to_come >= 1.0 || d.ready.keys().any(|(class, ..)| repeatable(*class)) || l.calls.values().any(out)
+    }
+
     /// The best send for one destination now: worth, message, route, endpoint, half-open probe.
     pub(super) fn best_send(&mut self, dest: DestinationId) -> Option<Pick> {
         let d = self.destinations.get(&dest)?;
@@ -77,25 +93,20 @@
         };
         let healthy = d.routes.iter().filter(usable);
         let least_fee = healthy.map(|l| fee_of(*l)).fold(f64::INFINITY, f64::min);
-        let worth =
-            self.settings.classes.iter().map(|c| c.worth).sum::<f64>() / self.settings.classes.len() as f64;
-        let most_worth = self.settings.classes.iter().map(|c| c.worth).fold(0.0, f64::max);
+        let (worth, most_worth) = (self.settings.mean_worth(), self.settings.most_worth());
         let mut best: Option<Pick> = None;
         for (queue, set) in &d.ready {
             let (class, bound, _) = queue;
             let Some((worth_now, id)) = self.candidate(*queue, set) else { continue };
             let m = &self.messages[&id];
             let (age, aim) = (self.now.saturating_sub(m.born) as f64, self.settings.classes[*class].aim);
-            let urgency = self.value(*class, age) - self.value(*class, age + aim as f64);
+            let urgency = self.settings.value(*class, age) - self.settings.value(*class, age + aim as f64);
             let unsafe_now = self.settings.classes[*class].effect == Effect::Unsafe;
-            let mut choice: Option<((f64, f64), usize, TargetId, bool)> = None;
+            let mut choice: Option<Choice> = None;
             for (route, half_open) in &open {
                 let l = &self.routes[*route];
-                // Unsafe messages are lost by an attempt without an answer: they stay away from what fails
-                // or is silent, but make a half-open probe when nothing else has for an aim.
-                let risky = l.may_have_run && (*half_open || l.failing > LOSSY);
-                let lately = l.failing > LOSSY && self.now < l.judged + aim;
-                if unsafe_now && risky && (self.now < m.born + aim || lately) {
+                let risky = unsafe_now && l.may_have_run && (*half_open || l.failing > LOSSY);
+                if risky && self.is_withheld(m, d, *route, *half_open) {
                     continue;
                 }
                 let over = fee_of(*route) - least_fee;
@@ -105,7 +116,7 @@
                 let zone = bound.checked_sub(1);
                 let Some(target) = self.endpoint(*route, zone) else { continue };
                 let busy = l.calls.len() as f64 / l.window.max(1.0) + f64::from(u8::from(*half_open));
-                let load = (over.max(0.0), busy);
+                let load = (risky, over.max(0.0), busy);
                 if choice.is_none_or(|c| load < c.0) {
                     choice = Some((load, *route, target, *half_open));
                 }
--- a/src/policy/sending.rs
+++ b/src/policy/sending.rs
@@ -17,7 +17,7 @@
     pub(super) fn send(
         &mut self, id: MessageId, route: usize, target: TargetId, half_open: bool, call: Option<u64>,
     ) -> u64 {
-        let (jitter, longest) = (1.0 + TAU_JITTER * self.random(), self.least_aim() / 2.0);
+        let (jitter, longest) = (1.0 + TAU_JITTER * self.random(), self.settings.least_aim() / 2.0);
         self.dequeue(id);
         let probe_interval = self.probe_interval(route, self.now);
         let call = call.unwrap_or_else(|| {
--- a/src/state.rs
+++ b/src/state.rs
@@ -74,6 +74,8 @@
     pub fee: f64,
     /// Messages that came for it, fading.
     pub recent_requests: f64,
+    /// Those of them that may be repeated, fading.
+    pub recent_repeatable: f64,
 }
 
 impl Route {
