--- a/src/policy/selection.rs
+++ b/src/policy/selection.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-/// A way for one message: how little it is to be preferred, its route and endpoint, and whether it is a half-open probe.
+/// A way for one message: its load (the least is chosen), route, endpoint, and whether it is a half-open probe.
 type Choice = ((bool, f64, f64), usize, TargetId, bool);
 
 impl DeliveryPolicy {
@@ -46,10 +46,10 @@
         best.map(|(id, _)| *id)
     }
 
-    /// Whether an unsafe message has to wait for a route that fails or is silent: an attempt without an answer
-    /// loses it. It waits an aim, and longer while calls still fail, but only for what else can find out whether
-    /// the route works: a message that may be repeated, or the half-open probe that is out. Where nothing else
-    /// will, it goes itself. Harms the few that find a route out that no other message was risked on.
+    /// Whether an unsafe message has to wait for a route that fails or is silent, where an attempt without an
+    /// answer loses it. It waits an aim, and longer while calls still fail, but only for what else can find
+    /// out whether the route works: a message that may be repeated, or the half-open probe that is out. Where
+    /// nothing else will, it goes itself. Harms the few that find a route out.
     fn is_withheld(&self, m: &Message, d: &Destination, route: usize, half_open: bool) -> bool {
         let (l, aim) = (&self.routes[route], self.settings.classes[m.class].aim);
         let patience = self.patience(l);
