--- a/src/policy/selection.rs
+++ b/src/policy/selection.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-/// A way for one message: its load (the least is taken), route, endpoint, and whether it is a half-open probe.
+/// A way for one message: its load (the least is taken), route, endpoint, and whether it is a probe.
 type Choice = ((bool, f64, f64), usize, TargetId, bool);
 
 impl DeliveryPolicy {
