--- a/src/policy/sending.rs
+++ b/src/policy/sending.rs
@@ -17,7 +17,7 @@
     pub(super) fn send(
         &mut self, id: MessageId, route: usize, target: TargetId, half_open: bool, call: Option<u64>,
     ) -> u64 {
-        let (jitter, longest) = (1.0 + TAU_JITTER * self.random(), self.least_aim() / 2.0);
+        let (jitter, longest) = (1.0 + TAU_JITTER * self.random(), self.settings.least_aim() / 2.0);
         self.dequeue(id);
         let probe_interval = self.probe_interval(route, self.now);
         let call = call.unwrap_or_else(|| {
@@ -65,7 +65,7 @@
         call
     }
 
-    /// Fills a call further, where the destination takes several messages in one. A half-open probe goes alone.
+    /// Fills a call further, where the destination takes several messages in one. A probe goes alone.
     pub(super) fn fill(&mut self, dest: DestinationId, route: usize, target: TargetId, call: u64) {
         let batch = self.settings.batch.get(self.routes[route].kind).copied().unwrap_or(1);
         let zone = self.targets.get(&target).map_or(0, |t| t.zone + 1);
