--- a/src/bin/foldtrack/main.rs
+++ b/src/bin/foldtrack/main.rs
@@ -5,7 +5,10 @@
 mod clients;
 mod clock;
 mod config;
+mod connection;
+mod discovery_client;
 mod door;
+mod events;
 mod figures;
 mod journal;
 mod last_list;
@@ -13,8 +16,8 @@
 mod node;
 mod out;
 mod places;
-mod platform;
 mod relay;
+mod report_client;
 mod strain;
 mod streams;
 mod tally;
@@ -23,14 +26,14 @@
 mod upgrade;
 
 use config::Config;
-use node::Input;
+use events::Input;
 use relay::Rest;
 use std::os::unix::process::CommandExt;
 use std::process::{Command, ExitCode};
 use tokio::signal::unix::{signal, SignalKind};
 
 async fn run(config: Config) -> Result<Rest, String> {
-    let (inputs, receiver) = node::channel();
+    let (inputs, receiver) = events::channel();
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
     let to_node = inputs.clone();
     tokio::spawn(async move {
--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -4,20 +4,23 @@
 use crate::clients::{self, Desk};
 use crate::clock::Clock;
 use crate::config::Config;
-use crate::door::{self, Ask, Told};
+use crate::discovery_client;
+use crate::door;
+use crate::events::{AdminRequest, AdminResponse, Answer, CallEnd, Input, Inputs, Receipt, Stage};
 use crate::figures::{Ended, Figures};
 use crate::journal::{Fate, Journal, Notice, Record, Restored};
 use crate::last_list::{self, LastList};
 use crate::message::{order_key, Message};
 use crate::out::{self, TakenOut};
 use crate::places::Places;
-use crate::platform::{self, Reports, ServerList, ServerState};
 use crate::relay::Rest;
+use crate::report_client::ReportClient;
 use crate::strain::Strain;
 use crate::tally::{Standing, Tally, Untried};
-use crate::targets::{self, Call, CallEnd, IdleConnections};
+use crate::targets::{self, Call, IdleConnections};
 use crate::turnstile::Turnstile;
 use crate::upgrade::{self, Lock, Start};
+use hatchline::discovery::list::{ServerList, ServerState};
 use hatchline::settings::Parsed;
 use hatchline::{
     Action, DeliveryPolicy, Endpoint, EndpointState, Event, ListKind, Micros, Outcome, TargetId,
@@ -32,7 +35,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::{oneshot, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep_until, timeout, Instant};
@@ -55,109 +58,6 @@
 const FIRST_LIST: Duration = Duration::from_millis(250);
 const SWEEP: Duration = Duration::from_secs(1);
 
-/// How far the process is from its end.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Stage {
-    Serving,
-    /// Told to end: answers close their connections.
-    Draining,
-    /// The same, and nothing is accepted any more: a successor does that.
-    Succeeded,
-    /// Nothing is accepted any more, and idle connections close.
-    Closing,
-}
-
-impl Stage {
-    /// Whether new connections are accepted.
-    pub fn accepts(self) -> bool {
-        matches!(self, Stage::Serving | Stage::Draining)
-    }
-}
-
-/// What a client is told.
-pub(crate) enum Answer {
-    TakenOn(Receipt),
-    Refused { retry_in_ms: u64 },
-}
-
-/// Tells the node, when it is dropped, whether the client's answer has been written.
-pub(crate) struct Receipt {
-    number: u64,
-    inputs: Inputs,
-    pub written: bool,
-}
-
-impl Receipt {
-    pub fn new(number: u64, inputs: Inputs) -> Receipt {
-        Receipt { number, inputs, written: false }
-    }
-
-    pub fn number(&self) -> u64 {
-        self.number
-    }
-}
-
-impl Drop for Receipt {
-    fn drop(&mut self) {
-        self.inputs.send(Input::Answered { number: self.number, written: self.written });
-    }
-}
-
-/// What happens to the node.
-pub(crate) enum Input {
-    HandIn {
-        message: Arc<Message>,
-        reply: oneshot::Sender<Answer>,
-    },
-    Answered {
-        number: u64,
-        written: bool,
-    },
-    /// A message of this class was refused before it was handed in, for want of time.
-    TurnedAway {
-        class: usize,
-    },
-    CallEnded(CallEnd),
-    List(ServerList),
-    /// Notices were taken.
-    Reported {
-        numbers: Vec<u64>,
-    },
-    /// Discovery is found there from now on.
-    Discovery(SocketAddr),
-    /// A call's connection stands: may it be written still?
-    Connected {
-        number: u64,
-        attempt: u32,
-        target: TargetId,
-        go: oneshot::Sender<bool>,
-    },
-    /// A message of this class has been written whole to an endpoint.
-    Written {
-        class: usize,
-    },
-    /// A call at the door.
-    Operator {
-        ask: Ask,
-        reply: oneshot::Sender<Told>,
-    },
-    /// Another process would take over.
-    Successor(UnixStream),
-    Terminate,
-}
-
-/// The way to the node. The queue has no bound of its own: each connection and each call has one input under
-/// way, and connections and calls are bounded.
-#[derive(Clone)]
-pub(crate) struct Inputs(UnboundedSender<Input>);
-
-impl Inputs {
-    pub fn send(&self, input: Input) {
-        // The node is gone only when the process ends.
-        let _ = self.0.send(input);
-    }
-}
-
 /// How far the client has been told that its message is taken on.
 enum Taken {
     /// Not at all: the module may refuse it yet.
@@ -222,7 +122,7 @@
     /// Ends that the platform has not taken yet, and which of them are to be sent now.
     notices: BTreeMap<u64, Ending>,
     unsent: BTreeSet<u64>,
-    reports: Reports,
+    reports: ReportClient,
     /// By message and attempt.
     calls: BTreeMap<(u64, u32), Out>,
     idle: IdleConnections,
@@ -248,12 +148,6 @@
     actions: Vec<Action>,
 }
 
-/// The channel to a node that is yet to run.
-pub(crate) fn channel() -> (Inputs, UnboundedReceiver<Input>) {
-    let (sender, receiver) = mpsc::unbounded_channel();
-    (Inputs(sender), receiver)
-}
-
 /// Takes over from the process that runs, or restores what the journal holds; then serves until it is told to end,
 /// or has handed over and has nothing left to do.
 pub(crate) async fn run(
@@ -272,10 +166,9 @@
             },
         }
     };
-    let (discovery, told, known) = (node.discovery.subscribe(), inputs.clone(), config.known);
-    let parsed = node.settings.clone();
+    let discovery_client = discovery_client::client(&node.settings.settings, inputs.clone());
     let watching =
-        tokio::spawn(async move { platform::watch(discovery, &parsed.settings, &known, told).await });
+        tokio::spawn(discovery_client.run(node.discovery.subscribe(), config.known.known_version()));
     let mut batch = Vec::new();
     let listener = match listener {
         Some(listener) => TcpListener::from_std(listener)?,
@@ -339,7 +232,7 @@
             settings: config.settings.clone(),
             journal,
             inputs: inputs.clone(),
-            reports: Reports::new(discovery.subscribe()),
+            reports: ReportClient::new(discovery.subscribe()),
             discovery,
             next_number: restored.last_key_value().map_or(1, |(number, _)| number + 1),
             messages: BTreeMap::new(),
@@ -451,9 +344,9 @@
             }
             Input::Written { class } => self.figures.tried(class),
             // One that nobody awaits any more has been answered no.
-            Input::Operator { reply, .. } if reply.is_closed() => {}
-            Input::Operator { ask, reply } => {
-                let _ = reply.send(self.operator(ask));
+            Input::Admin { reply, .. } if reply.is_closed() => {}
+            Input::Admin { request, reply } => {
+                let _ = reply.send(self.admin(request));
             }
             Input::Discovery(address) => {
                 eprintln!("discovery is at {address} from now on");
@@ -506,27 +399,31 @@
         self.handle(Event::List { kind, version, endpoints });
     }
 
-    fn operator(&mut self, ask: Ask) -> Told {
+    fn admin(&mut self, request: AdminRequest) -> AdminResponse {
         let serving = self.accepting && *self.stage.borrow() == Stage::Serving;
-        match ask {
-            Ask::Ready if serving => (StatusCode::OK, "ready\n".into()),
-            Ask::Ready => (StatusCode::SERVICE_UNAVAILABLE, "clients are not taken\n".into()),
-            Ask::Figures => (StatusCode::OK, self.figures.text(self.messages.len(), self.policy.pool())),
-            Ask::Disable(name) => self.by_hand(&name, true),
-            Ask::Enable(name) => self.by_hand(&name, false),
+        match request {
+            AdminRequest::Ready if serving => AdminResponse::new(StatusCode::OK, "ready\n"),
+            AdminRequest::Ready => {
+                AdminResponse::new(StatusCode::SERVICE_UNAVAILABLE, "clients are not taken\n")
+            }
+            AdminRequest::Metrics => {
+                AdminResponse::new(StatusCode::OK, self.figures.text(self.messages.len(), self.policy.pool()))
+            }
+            AdminRequest::Disable(name) => self.by_hand(&name, true),
+            AdminRequest::Enable(name) => self.by_hand(&name, false),
         }
     }
 
     /// Takes an endpoint out, or puts it back; the yes means that this outlasts the process.
-    fn by_hand(&mut self, name: &str, out: bool) -> Told {
+    fn by_hand(&mut self, name: &str, out: bool) -> AdminResponse {
         let target = self.target_ids.get(name).copied();
         let was_out = self.taken_out.contains(name);
         if !was_out && !target.is_some_and(|target| self.policy.lists(target)) {
-            return (StatusCode::NOT_FOUND, "no such endpoint\n".into());
+            return AdminResponse::new(StatusCode::NOT_FOUND, "no such endpoint\n");
         }
         if let Err(error) = self.taken_out.note(name, out) {
             eprintln!("admin: {name} stays as it is: {error}");
-            return (StatusCode::INSUFFICIENT_STORAGE, format!("{error}\n"));
+            return AdminResponse::new(StatusCode::INSUFFICIENT_STORAGE, format!("{error}\n"));
         }
         let state = if out { "out" } else { "in" };
         if let Some(target) = target.filter(|_| was_out != out) {
@@ -534,7 +431,7 @@
             self.servers[target as usize].era += 1;
             self.handle(Event::ByHand { target, out });
         }
-        (StatusCode::OK, format!("{name} is {state}\n"))
+        AdminResponse::new(StatusCode::OK, format!("{name} is {state}\n"))
     }
 
     /// Takes over what the journal holds of a message.
