Let calls past all that is usual not fill the window of a route

Cause: a call that may not be repeated stays out until its time is over. Half-open probes that hang filled the window of one or two with which a destination begins after its return, so that nothing went there for the rest of their time. Change: can_call counts the calls that may still be answered as usual. Slots and the part of them for one destination stay. The new test was seen to fail without the change.

--- a/src/policy/rates.rs
+++ b/src/policy/rates.rs
@@ -62,6 +62,9 @@
         if let CircuitBreaker::SlowStart { since } = l.breaker {
             (rate, depth) = (self.cold_rate(route, since), 1.0);
         }
+        // Calls past all that is usual tell no more of what the route takes at once.
+        let answerable = |c: &&Call| self.now.saturating_sub(c.sent) <= usual;
+        let in_flight = self.routes[route].calls.values().filter(answerable).count() as u32;
         let l = &mut self.routes[route];
         let refill = if rate > 0.0 { rate * (self.now - l.filled) as f64 / SECOND } else { f64::MAX };
         l.tokens = (l.tokens + refill).min(depth);
@@ -70,7 +73,7 @@
         match l.breaker {
             CircuitBreaker::Open { .. } => Ok(true),
             _ if rate > 0.0 && l.tokens < 1.0 => Err(self.now + lack as Micros + 1),
-            _ if (l.calls.len() as u32) < (l.window as u32).min(cap).max(1) => Ok(false),
+            _ if in_flight < (l.window as u32).min(cap).max(1) => Ok(false),
             _ => Err(Micros::MAX),
         }
     }
--- a/tests/unsafe_messages.rs
+++ b/tests/unsafe_messages.rs
@@ -124,3 +124,23 @@
     assert!(served >= 30, "{served} of 60 are served 8 s after the return");
     field.kept();
 }
+
+/// Found beside the above: probes that hang stay out for the rest of their time, and filled the small window with which a
+/// destination begins after its return, so that nothing went there until they were over.
+#[test]
+fn calls_that_hang_do_not_fill_the_window_of_a_destination_that_is_back() {
+    let mut field = with_open_breaker();
+    let back = field.now + 4 * S;
+    for _ in 0..20 {
+        field.request(UNSAFE, 1, 0);
+        field.run(BETWEEN, silent);
+    }
+    assert!(field.out().len() >= 3, "too few hang for this test");
+    let waiting = field.mail.values().filter(|m| m.sent.is_empty()).count();
+    field.run(8 * S, |now, _, call| {
+        (call.at > back && now >= call.at + ANSWER_TIME).then_some((Outcome::Ok, 0))
+    });
+    let left = field.mail.values().filter(|m| m.sent.is_empty()).count();
+    assert!(left * 2 < waiting, "of {waiting} that waited {left} still do 8 s after the return");
+    field.kept();
+}
