Name the parts of the simulation by standard terms

Cause: the experiment tool named its event queue and its calls in words of its own, and kept a sum of processor time that nothing read.

Change: schedule, in-flight messages, paused destinations; comments and messages in ordinary English; the unread sum is gone.

--- a/scale/src/error.rs
+++ b/scale/src/error.rs
@@ -1,4 +1,4 @@
-//! How an experiment fails, and the exit status that tells so.
+//! Errors of the experiments and their exit statuses.
 
 use crate::scenario::ScenarioError;
 use std::io;
@@ -12,7 +12,7 @@
 /// Exit status after an interrupt: 128 and the number of the signal.
 const STATUS_INTERRUPTED: u8 = 130;
 
-/// Why an experiment did not end well. Each is worded in one line.
+/// Why an experiment failed. Each is displayed on one line.
 #[derive(Debug, Error)]
 pub enum ScaleError {
     /// The scenario file cannot be used.
@@ -31,7 +31,7 @@
     WriteRecords {
         /// The file.
         path: PathBuf,
-        /// What the system said.
+        /// The error of the system.
         source: io::Error,
     },
     /// The process of one run could not be started, or broke off.
@@ -50,11 +50,11 @@
     BacklogNotHeld {
         /// Messages that the point asks for.
         wanted: u64,
-        /// Messages held after the backlog was handed in.
+        /// Messages held after the backlog was submitted.
         held: u64,
     },
     /// A figure of the operating system cannot be read.
-    #[error("the system does not tell: {0}")]
+    #[error("a figure of the system cannot be read: {0}")]
     System(#[from] procfs::ProcError),
     /// The handler of interrupts cannot be set.
     #[error("interrupts cannot be handled: {0}")]
--- a/scale/src/memory.rs
+++ b/scale/src/memory.rs
@@ -1,4 +1,4 @@
-//! Memory of the process and of the machine, as the system tells it.
+//! Memory of the process and of the machine, as reported by the kernel.
 
 use procfs::process::Process;
 use procfs::{Current, Meminfo, ProcError, ProcResult};
--- a/scale/src/policy/experiment.rs
+++ b/scale/src/policy/experiment.rs
@@ -1,4 +1,4 @@
-//! The experiment: plays the points, prints the tables and writes the records.
+//! The experiment: runs the points, prints the tables and writes the records.
 
 use crate::error::ScaleError;
 use crate::interrupt::Interrupt;
@@ -25,12 +25,12 @@
     let interrupt = Interrupt::install()?;
     let mut output = io::stdout().lock();
     writeln!(output, "{}", heading(&plan))?;
-    let (playable, skipped) = select_points(&plan)?;
+    let (selected, skipped) = select_points(&plan)?;
     for point in &skipped {
         writeln!(output, "{}", point.line())?;
     }
     output.flush()?;
-    let outcome = play(&plan, &playable, &interrupt);
+    let outcome = run_points(&plan, &selected, &interrupt);
     let series = SeriesResults::collect(&outcome.results);
     print_tables(&mut output, &series)?;
     if let Some(records) = records {
@@ -52,39 +52,39 @@
 /// The points that fit the machine, and those that do not.
 fn select_points(plan: &Plan) -> Result<(Vec<Point>, Vec<SkippedPoint>), ScaleError> {
     let machine_bytes = machine_bytes()?;
-    let mut playable = Vec::new();
+    let mut selected = Vec::new();
     let mut skipped = Vec::new();
     for point in plan.points.iter().copied() {
         match point.reason_to_skip(machine_bytes) {
             Some(reason) => skipped.push(SkippedPoint { point, reason }),
-            None => playable.push(point),
+            None => selected.push(point),
         }
     }
-    Ok((playable, skipped))
+    Ok((selected, skipped))
 }
 
 /// What was measured, and why the rest was not.
 #[derive(Debug)]
-struct PlayOutcome {
+struct Outcome {
     results: Vec<PointResult>,
     stopped: Option<ScaleError>,
 }
 
-/// Plays one series after the other, until a run fails or the user interrupts.
-fn play(plan: &Plan, points: &[Point], interrupt: &Interrupt) -> PlayOutcome {
+/// Runs one series after the other, until a run fails or the user interrupts.
+fn run_points(plan: &Plan, points: &[Point], interrupt: &Interrupt) -> Outcome {
     let progress = progress_bar(points.len() as u64 * plan.runs);
     let mut results: Vec<_> = points.iter().copied().map(PointResult::new).collect();
     let by_series = results.chunk_by_mut(|one, next| one.point.series == next.point.series);
-    let played: Result<(), ScaleError> =
-        by_series.into_iter().try_for_each(|series| play_series(plan, series, interrupt, &progress));
+    let finished: Result<(), ScaleError> =
+        by_series.into_iter().try_for_each(|series| run_series(plan, series, interrupt, &progress));
     progress.finish_and_clear();
     results.retain(|result| !result.runs.is_empty());
-    PlayOutcome { results, stopped: played.err() }
+    Outcome { results, stopped: finished.err() }
 }
 
-/// Makes all runs of a series. The points take turns, so that what changes on the machine meanwhile falls on all of
-/// them, and shows in the spread.
-fn play_series(
+/// Makes all runs of a series. The points take turns, so that a change in the load of the machine affects all of them
+/// and shows in the spread.
+fn run_series(
     plan: &Plan, series: &mut [PointResult], interrupt: &Interrupt, progress: &ProgressBar,
 ) -> Result<(), ScaleError> {
     for run in 0..plan.runs {
--- a/scale/src/policy/plan.rs
+++ b/scale/src/policy/plan.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 use toml::Spanned;
 
-/// The built-in scenario, and the name under which its errors are told.
+/// The built-in scenario, and the file name in its errors.
 const BUILT_IN_SCENARIO: &str = include_str!("../../scenarios/policy.toml");
 const BUILT_IN_NAME: &str = "scale/scenarios/policy.toml";
 /// The policy keeps part of the room for held messages free: a backlog may take up this percentage of it.
@@ -66,7 +66,7 @@
         }
     }
 
-    /// Why the point is not to be played on a machine of so much memory, if so.
+    /// Why the point is skipped on a machine with this much memory; none if it is not.
     pub fn reason_to_skip(&self, machine_bytes: u64) -> Option<String> {
         let listed_bytes = self.listed * ESTIMATED_BYTES_PER_LISTED;
         let estimate = listed_bytes + self.backlog * ESTIMATED_BYTES_PER_HELD;
--- a/scale/src/policy/results.rs
+++ b/scale/src/policy/results.rs
@@ -24,7 +24,7 @@
     pub runs: Vec<RunMeasurement>,
 }
 
-/// A point that was not played.
+/// A point that was skipped.
 #[derive(Clone, Debug)]
 pub(super) struct SkippedPoint {
     pub point: Point,
@@ -48,7 +48,7 @@
     }
 }
 
-/// What a record tells.
+/// Content of a record.
 #[derive(Debug, Serialize)]
 #[serde(tag = "record", rename_all = "lowercase")]
 pub(super) enum RecordBody {
@@ -60,7 +60,7 @@
         #[serde(flatten)]
         summary: PointSummary,
     },
-    /// A point that was not played.
+    /// A point that was skipped.
     Skipped {
         #[serde(flatten)]
         point: Point,
@@ -139,7 +139,7 @@
 }
 
 impl SkippedPoint {
-    /// The line that says so.
+    /// The line of output for it.
     pub fn line(&self) -> String {
         let Point { series, listed, active, backlog } = self.point;
         format!("skipped: by {series}: {listed} listed, {active} active, {backlog} held: {}", self.reason)
--- a/scale/src/policy/run.rs
+++ b/scale/src/policy/run.rs
@@ -18,7 +18,7 @@
 const MAINTENANCE_SPAN: Micros = SECOND;
 /// How long destinations with a backlog ask for: longer than a run.
 const PAUSE: Micros = 3_600 * SECOND;
-/// Greatest processor time of a request that the histogram tells apart, and its significant digits.
+/// Greatest processor time that the histogram of requests records, and its significant digits.
 const HISTOGRAM_MAX: Duration = Duration::from_secs(3_600);
 const HISTOGRAM_DIGITS: u8 = 3;
 /// The share of requests that the upper figure of a run stands above.
@@ -66,7 +66,7 @@
     })
 }
 
-/// The destinations that play a part, spread at random over the list.
+/// The destinations with traffic or a backlog, spread at random over the list.
 #[derive(Debug)]
 struct Destinations {
     active: Vec<DestinationId>,
@@ -87,9 +87,9 @@
 
 /// Processor time of periodic maintenance while no traffic comes.
 fn maintenance(simulation: &mut Simulation) -> Duration {
-    let before = simulation.costs().maintenance;
+    let before = simulation.maintenance_time();
     simulation.run_for(MAINTENANCE_SPAN);
-    simulation.costs().maintenance - before
+    simulation.maintenance_time() - before
 }
 
 /// Serves each active destination a number of requests, as many at a time as there are slots.
@@ -102,7 +102,7 @@
     }
 }
 
-/// Hands in the backlog, for destinations that first have each asked for a pause.
+/// Submits the backlog, for destinations that first have each asked for a pause.
 fn fill_backlog(
     simulation: &mut Simulation, plan: &RunPlan, paused: &[DestinationId],
 ) -> Result<(), ScaleError> {
--- a/scale/src/policy/run_process.rs
+++ b/scale/src/policy/run_process.rs
@@ -48,8 +48,8 @@
         return Ok(None);
     }
     if !output.status.success() {
-        let said = String::from_utf8_lossy(&output.stderr);
-        return Err(ScaleError::Run(format!("{}: {}", output.status, said.trim())));
+        let errors = String::from_utf8_lossy(&output.stderr);
+        return Err(ScaleError::Run(format!("{}: {}", output.status, errors.trim())));
     }
     Ok(Some(serde_json::from_slice(&output.stdout)?))
 }
--- a/scale/src/policy/simulation.rs
+++ b/scale/src/policy/simulation.rs
@@ -1,7 +1,7 @@
 //! A forwarder on a virtual clock: it feeds the delivery policy, carries out what it decides, and counts.
 //!
 //! Events of one moment are passed in together, as a forwarder does. Timers have a moment of their own, before
-//! the traffic of the same time: so what is done periodically and what requests cost are told apart.
+//! the traffic of the same time: so the cost of periodic maintenance is separate from that of requests.
 
 use crate::clock::ProcessorClock;
 use crate::policy::policy_under_test::PolicyUnderTest;
@@ -19,10 +19,10 @@
 /// Part of the service time by which an answer comes earlier or later.
 const SERVICE_TIME_VARIATION: f64 = 0.2;
 
-/// What a forwarder was told and did. The same for the same seed.
+/// Number of events and actions so far. The same for the same seed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Counts {
-    /// Messages handed in.
+    /// Messages submitted.
     pub requests: u64,
     /// Calls made.
     pub calls: u64,
@@ -36,15 +36,6 @@
     pub timers: u64,
 }
 
-/// Processor time by what it was taken for.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Costs {
-    /// Requests and answers, with the decisions that followed.
-    pub traffic: Duration,
-    /// Timers, with the decisions that followed.
-    pub maintenance: Duration,
-}
-
 /// How far a message has come.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Stage {
@@ -57,7 +48,7 @@
 
 /// A message that is on its way.
 #[derive(Debug, Default)]
-struct Tracked {
+struct InFlight {
     attempts: u32,
     /// The attempt that is out.
     open: Option<u32>,
@@ -65,9 +56,9 @@
     cost: Duration,
 }
 
-/// What happens later. Timers stand first, so that they go before traffic of the same time.
+/// What is to happen. Timers stand first, so that they go before traffic of the same time.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Later {
+enum Scheduled {
     Timer { token: u32 },
     Request { id: MessageId, destination: DestinationId },
     Answer { call: Call, answer: Answer },
@@ -98,9 +89,9 @@
     now: Micros,
     processor: ProcessorClock,
     random: ChaCha8Rng,
-    later: BinaryHeap<Reverse<(Micros, Later)>>,
-    tracked: HashMap<MessageId, Tracked>,
-    pausing: HashSet<DestinationId>,
+    schedule: BinaryHeap<Reverse<(Micros, Scheduled)>>,
+    in_flight: HashMap<MessageId, InFlight>,
+    paused: HashSet<DestinationId>,
     pause: Micros,
     class: u32,
     deadlines: Vec<Micros>,
@@ -110,7 +101,7 @@
     service_time_now: Option<Micros>,
     last_id: MessageId,
     counts: Counts,
-    costs: Costs,
+    maintenance_time: Duration,
     /// Processor time of each message delivered, if it is kept.
     finished: Option<Vec<Duration>>,
     actions: Vec<Action>,
@@ -123,9 +114,9 @@
             now: START,
             processor: ProcessorClock::calibrated(),
             random: ChaCha8Rng::seed_from_u64(seed),
-            later: BinaryHeap::new(),
-            tracked: HashMap::new(),
-            pausing: HashSet::new(),
+            schedule: BinaryHeap::new(),
+            in_flight: HashMap::new(),
+            paused: HashSet::new(),
             pause: 0,
             class: 0,
             deadlines: settings.classes.iter().map(|class| class.deadline).collect(),
@@ -134,7 +125,7 @@
             service_time_now: None,
             last_id: 0,
             counts: Counts::default(),
-            costs: Costs::default(),
+            maintenance_time: Duration::ZERO,
             finished: None,
             actions: Vec::new(),
             policy: PolicyUnderTest::new(START, seed, settings),
@@ -146,9 +137,9 @@
         self.counts
     }
 
-    /// Processor time so far.
-    pub fn costs(&self) -> Costs {
-        self.costs
+    /// Processor time of timers so far, with the decisions that followed them.
+    pub fn maintenance_time(&self) -> Duration {
+        self.maintenance_time
     }
 
     /// Messages that are neither delivered nor ended.
@@ -181,11 +172,11 @@
 
     /// These destinations answer each call with a Retry-After of this span from now on.
     pub fn pause(&mut self, destinations: impl IntoIterator<Item = DestinationId>, span: Micros) {
-        self.pausing.extend(destinations);
+        self.paused.extend(destinations);
         self.pause = span;
     }
 
-    /// Hands in a request for each of the destinations, all at one moment, and lets time pass until none of them is
+    /// Submits a request for each of the destinations, all at one moment, and lets time pass until none of them is
     /// on its way. All calls take the same time.
     pub fn serve_each(&mut self, destinations: &[DestinationId]) {
         self.service_time_now = Some(self.random_service_time());
@@ -196,7 +187,7 @@
         self.service_time_now = None;
     }
 
-    /// Hands in a request for each of the destinations, all at one moment, and leaves them waiting.
+    /// Submits a request for each of the destinations, all at one moment, and leaves them waiting.
     pub fn hold_each(&mut self, destinations: impl IntoIterator<Item = DestinationId>) {
         let mut events = Vec::new();
         for destination in destinations {
@@ -209,29 +200,29 @@
     /// Schedules a request. Its message counts as on its way from now on.
     pub fn request_after(&mut self, span: Micros, destination: DestinationId) {
         let id = self.new_id();
-        self.tracked.insert(id, Tracked::default());
-        self.later.push(Reverse((self.now + span, Later::Request { id, destination })));
+        self.in_flight.insert(id, InFlight::default());
+        self.schedule.push(Reverse((self.now + span, Scheduled::Request { id, destination })));
     }
 
     /// Lets time pass until no message is on its way. Timers fall due on the way.
     pub fn run_until_idle(&mut self) {
-        while !self.tracked.is_empty() && self.step() {}
+        while !self.in_flight.is_empty() && self.step() {}
     }
 
     /// Lets a span pass.
     pub fn run_for(&mut self, span: Micros) {
         let end = self.now + span;
-        while self.later.peek().is_some_and(|Reverse((at, _))| *at <= end) {
+        while self.schedule.peek().is_some_and(|Reverse((at, _))| *at <= end) {
             self.step();
         }
         self.now = end;
     }
 
-    /// Plays the next moment, if there is one.
+    /// Processes the next moment, if there is one.
     pub fn step(&mut self) -> bool {
-        let Some(Reverse((at, first))) = self.later.pop() else { return false };
+        let Some(Reverse((at, first))) = self.schedule.pop() else { return false };
         self.now = at;
-        if let Later::Timer { token } = first {
+        if let Scheduled::Timer { token } = first {
             self.timer(token);
         } else {
             self.traffic(first);
@@ -242,51 +233,50 @@
     fn timer(&mut self, token: u32) {
         self.counts.timers += 1;
         let spent = self.advance(vec![Event::Timer { token }]);
-        self.costs.maintenance += spent;
+        self.maintenance_time += spent;
     }
 
-    /// Plays the traffic of this moment.
-    fn traffic(&mut self, first: Later) {
+    /// Processes the traffic of this moment.
+    fn traffic(&mut self, first: Scheduled) {
         let mut events = Vec::new();
         let mut ids = Vec::new();
         let mut next = Some(first);
-        while let Some(later) = next {
-            if let Some((id, event)) = self.event(later) {
+        while let Some(scheduled) = next {
+            if let Some((id, event)) = self.event(scheduled) {
                 events.push(event);
                 ids.push(id);
             }
-            let is_due = self.later.peek().is_some_and(|Reverse((at, _))| *at == self.now);
-            next = if is_due { self.later.pop().map(|Reverse((_, later))| later) } else { None };
+            let is_due = self.schedule.peek().is_some_and(|Reverse((at, _))| *at == self.now);
+            next = if is_due { self.schedule.pop().map(|Reverse((_, scheduled))| scheduled) } else { None };
         }
         if events.is_empty() {
             return;
         }
         let spent = self.advance(events);
-        self.costs.traffic += spent;
         self.share_cost(&ids, spent);
     }
 
-    /// Gives each message of a moment its part of the moment's cost, and lets go of those that wait no more.
+    /// Gives each message of a moment its part of the moment's cost, and drops those that are delivered or paused.
     fn share_cost(&mut self, ids: &[MessageId], spent: Duration) {
         let part = spent.div_f64(ids.len() as f64);
         for id in ids {
-            let Some(tracked) = self.tracked.get_mut(id) else { continue };
-            tracked.cost += part;
-            if tracked.stage == Stage::Delivered {
-                self.finished.iter_mut().for_each(|finished| finished.push(tracked.cost));
+            let Some(in_flight) = self.in_flight.get_mut(id) else { continue };
+            in_flight.cost += part;
+            if in_flight.stage == Stage::Delivered {
+                self.finished.iter_mut().for_each(|finished| finished.push(in_flight.cost));
             }
-            if tracked.stage != Stage::Underway {
-                self.tracked.remove(id);
+            if in_flight.stage != Stage::Underway {
+                self.in_flight.remove(id);
             }
         }
     }
 
-    /// The event that the policy is told, and its message; none for an answer to an attempt that is over.
-    fn event(&mut self, later: Later) -> Option<(MessageId, Event)> {
-        match later {
-            Later::Timer { .. } => None,
-            Later::Request { id, destination } => Some((id, self.request(id, destination))),
-            Later::Answer { call, answer } => Some((call.id, self.answer(call, answer)?)),
+    /// The event for the policy, and its message; none for an answer to an attempt that is over.
+    fn event(&mut self, scheduled: Scheduled) -> Option<(MessageId, Event)> {
+        match scheduled {
+            Scheduled::Timer { .. } => None,
+            Scheduled::Request { id, destination } => Some((id, self.request(id, destination))),
+            Scheduled::Answer { call, answer } => Some((call.id, self.answer(call, answer)?)),
         }
     }
 
@@ -303,15 +293,15 @@
 
     fn answer(&mut self, call: Call, answer: Answer) -> Option<Event> {
         let Call { id, attempt, target, sent } = call;
-        let tracked = self.tracked.get_mut(&id).filter(|tracked| tracked.open == Some(attempt))?;
-        tracked.open = None;
+        let in_flight = self.in_flight.get_mut(&id).filter(|in_flight| in_flight.open == Some(attempt))?;
+        in_flight.open = None;
         let (outcome, wait) = match answer {
             Answer::Ok => (Outcome::Ok, 0),
             Answer::TimedOut => (Outcome::TimedOut, 0),
             Answer::Cancelled => (Outcome::Cancelled, 0),
             Answer::RetryAfter(span) => (Outcome::Full, span),
         };
-        tracked.stage = match answer {
+        in_flight.stage = match answer {
             Answer::Ok => Stage::Delivered,
             Answer::RetryAfter(_) => Stage::Paused,
             Answer::TimedOut | Answer::Cancelled => Stage::Underway,
@@ -341,10 +331,10 @@
             Action::Cancel { id, attempt } => self.cancel(id, attempt),
             Action::Refuse { id, .. } | Action::Fail { id } => {
                 self.counts.ended += 1;
-                self.tracked.remove(&id);
+                self.in_flight.remove(&id);
             }
             Action::Timer { after, token } => {
-                self.later.push(Reverse((self.now + after.max(1), Later::Timer { token })));
+                self.schedule.push(Reverse((self.now + after.max(1), Scheduled::Timer { token })));
             }
             _ => {}
         }
@@ -353,24 +343,24 @@
     fn send(&mut self, id: MessageId, target: TargetId, until: Micros) {
         self.counts.calls += 1;
         let service_time = self.service_time_now.unwrap_or_else(|| self.random_service_time());
-        let tracked = self.tracked.entry(id).or_default();
-        let call = Call { id, attempt: tracked.attempts, target, sent: self.now };
-        tracked.open = Some(call.attempt);
-        tracked.attempts += 1;
+        let in_flight = self.in_flight.entry(id).or_default();
+        let call = Call { id, attempt: in_flight.attempts, target, sent: self.now };
+        in_flight.open = Some(call.attempt);
+        in_flight.attempts += 1;
         let answered = self.now + service_time;
-        let (at, answer) = match self.pausing.contains(&target) {
+        let (at, answer) = match self.paused.contains(&target) {
             true => (answered, Answer::RetryAfter(self.pause)),
             false if answered > until => (until, Answer::TimedOut),
             false => (answered, Answer::Ok),
         };
-        self.later.push(Reverse((at, Later::Answer { call, answer })));
+        self.schedule.push(Reverse((at, Scheduled::Answer { call, answer })));
     }
 
-    /// Calls off an attempt. Its own answer, if it comes later, finds it over.
+    /// Cancels an attempt. Its regular answer is ignored if it comes later.
     fn cancel(&mut self, id: MessageId, attempt: u32) {
         let call = Call { id, attempt, target: TargetId::default(), sent: self.now };
-        let cancelled = Later::Answer { call, answer: Answer::Cancelled };
-        self.later.push(Reverse((self.now + 1, cancelled)));
+        let cancelled = Scheduled::Answer { call, answer: Answer::Cancelled };
+        self.schedule.push(Reverse((self.now + 1, cancelled)));
     }
 
     fn random_service_time(&mut self) -> Micros {
--- a/scale/src/provenance.rs
+++ b/scale/src/provenance.rs
@@ -5,7 +5,7 @@
 /// The commit that the tool was built from, or "unknown"; with "-dirty" if its files differed from it.
 pub const COMMIT: &str = env!("SCALE_COMMIT");
 
-/// What a record tells of its origin.
+/// Origin of a record.
 #[derive(Clone, Debug, Serialize)]
 pub struct Provenance {
     /// Seed of all pseudo-random choices.
--- a/scale/src/scenario.rs
+++ b/scale/src/scenario.rs
@@ -1,4 +1,4 @@
-//! Scenario files: TOML whose errors are told by file, line and key.
+//! Scenario files: TOML, with errors that name file, line and key.
 
 use serde::de::DeserializeOwned;
 use std::io;
@@ -14,7 +14,7 @@
     Unreadable {
         /// The file.
         path: PathBuf,
-        /// What the system said.
+        /// The error of the system.
         source: io::Error,
     },
     /// A line is no TOML, has an unknown key, or a value that does not fit.
--- a/scale/tests/policy.rs
+++ b/scale/tests/policy.rs
@@ -22,9 +22,9 @@
     let output = folder.scale(arguments);
     assert_eq!(output.status.code(), Some(STATUS_BAD_INPUT), "{output:?}");
     assert!(output.stdout.is_empty(), "{output:?}");
-    let said = String::from_utf8(output.stderr).unwrap();
-    assert_eq!(said.lines().count(), 1, "{said}");
-    said
+    let error = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(error.lines().count(), 1, "{error}");
+    error
 }
 
 #[test]
@@ -91,7 +91,7 @@
 }
 
 #[test]
-fn a_point_too_large_for_the_machine_is_skipped_and_said() {
+fn a_point_too_large_for_the_machine_is_skipped_with_a_reason() {
     let folder = Folder::with_scenario(SCENARIO);
     let arguments = ["policy", "--scenario", "small.toml", "--runs", "1", "--json", "out.jsonl"];
     let output =
@@ -104,7 +104,7 @@
     assert_eq!((of_kind(&records, "skipped").len(), of_kind(&records, "point").len()), (1, 1));
 }
 
-/// What is wrong in the scenario, the number of its line, its key, and a part of what is said.
+/// What is wrong in the scenario, the number of its line, its key, and a part of the reason.
 const WRONG_LINES: [(&str, &str, usize, &str, &str); 8] = [
     ("seed = 7", "sede = 7", 1, "sede", "unknown field"),
     ("slots = 50", "slots = 50\nslot = 50", 6, "policy.slot", "unknown field"),
@@ -117,34 +117,34 @@
 ];
 
 #[test]
-fn a_wrong_scenario_is_told_in_one_line_by_file_line_and_key() {
+fn a_wrong_scenario_is_reported_on_one_line_with_file_line_and_key() {
     for (right, wrong, line, key, reason) in WRONG_LINES {
         let folder = Folder::with_scenario(&SCENARIO.replacen(right, wrong, 1));
-        let said = rejection(&folder, &["policy", "--scenario", "small.toml"]);
+        let error = rejection(&folder, &["policy", "--scenario", "small.toml"]);
         let place = format!("scale: small.toml:{line}: {key}: ");
-        assert!(said.starts_with(&place) && said.contains(reason), "{wrong}: {said}");
+        assert!(error.starts_with(&place) && error.contains(reason), "{wrong}: {error}");
     }
 }
 
 #[test]
-fn a_missing_key_is_told() {
+fn a_missing_key_is_reported() {
     let folder = Folder::with_scenario(&SCENARIO.replacen("slots = 50\n", "", 1));
-    let said = rejection(&folder, &["policy", "--scenario", "small.toml"]);
-    assert!(said.starts_with("scale: small.toml:3: policy: missing field `slots`"), "{said}");
+    let error = rejection(&folder, &["policy", "--scenario", "small.toml"]);
+    assert!(error.starts_with("scale: small.toml:3: policy: missing field `slots`"), "{error}");
 }
 
 #[test]
-fn an_unreadable_scenario_is_told_by_its_name() {
+fn an_unreadable_scenario_is_reported_by_its_name() {
     let folder = Folder::with_scenario(SCENARIO);
-    let said = rejection(&folder, &["policy", "--scenario", "absent.toml"]);
-    assert!(said.starts_with("scale: absent.toml: cannot be read"), "{said}");
+    let error = rejection(&folder, &["policy", "--scenario", "absent.toml"]);
+    assert!(error.starts_with("scale: absent.toml: cannot be read"), "{error}");
 }
 
 #[test]
-fn a_point_of_the_command_line_that_does_not_fit_is_told() {
+fn a_point_of_the_command_line_that_does_not_fit_is_reported() {
     let folder = Folder::with_scenario(SCENARIO);
-    let said = rejection(&folder, &["policy", "--scenario", "small.toml", "--active", "5,401"]);
-    assert!(said.starts_with("scale: --active: 401 is more than the 400 destinations listed"), "{said}");
+    let error = rejection(&folder, &["policy", "--scenario", "small.toml", "--active", "5,401"]);
+    assert!(error.starts_with("scale: --active: 401 is more than the 400 destinations listed"), "{error}");
 }
 
 #[test]
