Hold a route in long trouble to its part of what a cold destination takes

Cause: of 350 replicas with a destination of 100 calls a second that was out for 4 s, each saw one or two calls fail, too few to open its circuit breaker. In the worst window after the return (109 calls, 95.7 allowed) 104 calls came from routes that were closed, had had no answer since a failure, and went on at their even share of the warm limit, 0.299 calls a second.

Change: while a route has had no answer since a failure for longer than a short trouble, `can_call` caps its rate at its part of what would push over a cold destination. What counts as short was in `judge`; it is a function now, used by both. It falls with the number of replicas, so that one of few, which soon finds out by itself, is spared. Refusals are not counted as failures.

--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -78,7 +78,7 @@
                 .max(MAINTENANCE_INTERVAL as f64);
         }
         let (spread, even, half_aim) = (self.retry_jitter, self.even_interval(), least_aim / 2.0);
-        let senders = f64::from(self.settings.senders.max(1));
+        let (senders, short_trouble) = (f64::from(self.settings.senders.max(1)), self.short_trouble());
         let l = &mut self.routes[route];
         if let Some(r) = report.filter(|r| r.rate > 0.0) {
             l.limit_is(r.rate, self.settings.senders);
@@ -108,9 +108,7 @@
                 l.failing *= 1.0 - FAIL_WEIGHT;
                 (l.refusals_in_a_row, l.last_ok) = (0, self.now);
                 let trouble = if l.failing > MOSTLY_FAILING { l.trouble } else { l.trouble.take() };
-                // One of few replicas sees a trouble soon after it began, one of many perhaps only its end.
-                let seen = (4.0 / senders).min(1.0) * 2.0 * self.settings.rules.tip_after as f64;
-                let short = trouble.is_some_and(|t| self.now < t + seen as Micros);
+                let short = trouble.is_some_and(|t| self.now < t + short_trouble);
                 l.breaker = match l.breaker {
                     CircuitBreaker::Open { .. } if l.failing > MOSTLY_FAILING => {
                         CircuitBreaker::Open { next: self.now, backoff: l.times.mean() }
--- a/src/policy/rates.rs
+++ b/src/policy/rates.rs
@@ -39,6 +39,12 @@
         capacity * warm * r.tip_multiple.max(1.0) * RAMP_CAUTION
     }
 
+    /// Age up to which a trouble is short: one of few replicas sees it begin, one of many perhaps its end.
+    pub(super) fn short_trouble(&self) -> Micros {
+        let seen_part = (4.0 / f64::from(self.settings.senders.max(1))).min(1.0);
+        (seen_part * 2.0 * self.settings.rules.tip_after as f64) as Micros
+    }
+
     /// The rate limit of a replica of many may have its first call come after all that a restart found is over.
     /// Guards against that: a call is saved up by some moment before. Harms where all have found something
     /// for a limit of less than a call of each in that time.
@@ -59,8 +65,12 @@
         if l.opens_at() > self.now {
             return Err(l.opens_at());
         }
+        let long_trouble = l.trouble.is_some_and(|since| self.now >= since + self.short_trouble());
         if let CircuitBreaker::SlowStart { since } = l.breaker {
             (rate, depth) = (self.cold_rate(route, since), 1.0);
+        } else if long_trouble && l.refusals_in_a_row == 0 {
+            // It may be out, and return cold, though too few calls have failed here to tell.
+            rate = rate.min(self.cold_rate(route, self.now) / RAMP_CAUTION);
         }
         let l = &mut self.routes[route];
         let refill = if rate > 0.0 { rate * (self.now - l.filled) as f64 / SECOND } else { f64::MAX };
