--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -110,16 +110,8 @@
         let (maintenance_at, armed) = (now + MAINTENANCE_INTERVAL, Micros::MAX);
         let none = vec![0.0; settings.classes.len()];
         let (arrived, delivered) = (none.clone(), none);
-        let fresh = DeliveryPolicy {
-            settings,
-            seed,
-            now,
-            maintenance_at,
-            armed,
-            arrived,
-            delivered,
-            ..DeliveryPolicy::default()
-        };
+        let blank = DeliveryPolicy { settings, seed, now, ..DeliveryPolicy::default() };
+        let fresh = DeliveryPolicy { maintenance_at, armed, arrived, delivered, ..blank };
         DeliveryPolicy { retry_jitter: fresh.even_interval().min(fresh.settings.least_aim()), ..fresh }
     }
 
@@ -134,12 +126,9 @@
                 self.make_room()
             }
             Event::Restored { id, class, destination, order_key, expires, attempts, first_run } => {
-                let attempt = |o| Attempt { target: 0, call: 0, planned: false, done: Some(o) };
-                let attempts = attempts.into_iter().map(attempt).collect();
-                let (class, ran) = (class as usize, first_run);
                 let m =
-                    Message { class, destination, order_key, expires, attempts, ran, ..Message::default() };
-                self.restored(id, m)
+                    Message { class: class as usize, destination, order_key, expires, ..Message::default() };
+                self.restored(id, m.recovered(attempts, first_run))
             }
             Event::Late { by } => self.late = by,
             Event::Stopping { by } => self.stopping = Some(by),
--- a/src/state.rs
+++ b/src/state.rs
@@ -159,6 +159,16 @@
     pub over: bool,
 }
 
+impl Message {
+    /// Takes over the ends of the attempts that were made before a restart.
+    pub fn recovered(mut self, outcomes: Vec<Outcome>, first_run: Option<(Micros, u32)>) -> Message {
+        let ended = |outcome| Attempt { target: 0, call: 0, planned: false, done: Some(outcome) };
+        self.attempts = outcomes.into_iter().map(ended).collect();
+        self.ran = first_run;
+        self
+    }
+}
+
 /// How a call ended.
 pub(crate) struct End {
     pub outcome: Outcome,
