--- a/src/discovery/list.rs
+++ b/src/discovery/list.rs
@@ -28,8 +28,9 @@
 fn readable_entries<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<ServerLine>, D::Error> {
     let entries = Vec::<Value>::deserialize(deserializer)?;
     let read = |entry: Value| {
-        let text = entry.to_string();
-        serde_json::from_value(entry).inspect_err(|e| eprintln!("discovery: {text} is passed over: {e}")).ok()
+        ServerLine::deserialize(&entry)
+            .inspect_err(|e| eprintln!("discovery: {entry} is passed over: {e}"))
+            .ok()
     };
     Ok(entries.into_iter().filter_map(read).collect())
 }
