--- a/scale/src/cli.rs
+++ b/scale/src/cli.rs
@@ -1,12 +1,13 @@
 //! The command line: its arguments, its logs and its exit status.
 
+use crate::discovery;
 use crate::error::ScaleError;
 use crate::policy;
 use clap::{Parser, Subcommand};
 use std::process::ExitCode;
 use tracing_subscriber::filter::LevelFilter;
 
-/// Experiments that measure what the delivery policy costs as a deployment grows.
+/// Experiments that measure what the delivery policy and the discovery client cost as a deployment grows.
 #[derive(Debug, Parser)]
 #[command(name = "scale", version)]
 pub struct Arguments {
@@ -22,6 +23,8 @@
 pub enum Command {
     /// Processor time and memory of the delivery policy by destinations and held messages.
     Policy(policy::PolicyArguments),
+    /// Load of discovery, and time until changes of the list are in force, by instances.
+    Discovery(discovery::DiscoveryArguments),
     /// One run of `policy`, in a process of its own. Reads its plan from standard input.
     #[command(hide = true, name = policy::RUN_SUBCOMMAND)]
     PolicyRun,
@@ -43,6 +46,7 @@
 fn run(command: Command) -> Result<(), ScaleError> {
     match command {
         Command::Policy(arguments) => policy::run(&arguments),
+        Command::Discovery(arguments) => discovery::run(&arguments),
         Command::PolicyRun => policy::run_once(),
     }
 }
--- /dev/null
+++ b/scale/src/discovery/results.rs
@@ -0,0 +1,163 @@
+//! Results of the points: the table and the records.
+
+use crate::discovery::plan::{Case, Point};
+use crate::discovery::propagation::PropagationSummary;
+use crate::discovery::run::Measurement;
+use crate::provenance::Provenance;
+use crate::report::table;
+use serde::Serialize;
+
+/// Name of the experiment in its records.
+const EXPERIMENT: &str = "discovery";
+const MICROS_PER_MILLI: f64 = 1e3;
+const BYTES_PER_KIBIBYTE: f64 = 1_024.0;
+const PERCENT: f64 = 100.0;
+
+/// Calls, and bytes both ways.
+#[derive(Clone, Copy, Debug, Serialize)]
+struct Rate {
+    calls_per_second: f64,
+    bytes_per_second: f64,
+}
+
+/// The figures of a point.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct PointResult {
+    #[serde(flatten)]
+    point: Point,
+    measured_seconds: f64,
+    /// The mean over the instances.
+    each_instance: Rate,
+    /// The instance with the most calls, and that with the most bytes.
+    busiest_instance: Rate,
+    discovery: Rate,
+    /// The second with the most calls, and that with the most bytes.
+    discovery_peak: Rate,
+    turned_away_per_second: f64,
+    changes: u64,
+    /// Pairs of a change and an instance that has it.
+    in_force: u64,
+    in_force_after_milliseconds: InForceAfter,
+    /// Part of the pairs in force that took over 6 s.
+    in_force_after_6_seconds_percent: f64,
+    /// Pairs of a change and a running instance that does not have it at the end.
+    not_in_force: u64,
+}
+
+/// Times until changes are in force.
+#[derive(Clone, Copy, Debug, Serialize)]
+struct InForceAfter {
+    median: f64,
+    p99: f64,
+    max: f64,
+}
+
+/// A record of the file.
+#[derive(Debug, Serialize)]
+pub(super) struct Record<'a> {
+    record: &'static str,
+    experiment: &'static str,
+    #[serde(flatten)]
+    provenance: &'a Provenance,
+    #[serde(flatten)]
+    result: &'a PointResult,
+}
+
+impl<'a> Record<'a> {
+    /// The record of a point.
+    pub fn new(provenance: &'a Provenance, result: &'a PointResult) -> Record<'a> {
+        Record { record: "point", experiment: EXPERIMENT, provenance, result }
+    }
+}
+
+impl PointResult {
+    /// The figures of a run.
+    pub fn new(point: Point, measurement: &Measurement) -> PointResult {
+        let Measurement { span, counts, propagation } = measurement;
+        let seconds = span.as_secs_f64();
+        let total_calls: u64 = counts.instances.iter().map(|load| load.calls).sum();
+        let total_bytes: u64 = counts.instances.iter().map(|load| load.bytes).sum();
+        let most_calls = counts.instances.iter().map(|load| load.calls).max().unwrap_or_default();
+        let most_bytes = counts.instances.iter().map(|load| load.bytes).max().unwrap_or_default();
+        let discovery_calls: u64 = counts.seconds.iter().map(|load| load.calls).sum();
+        let discovery_bytes: u64 = counts.seconds.iter().map(|load| load.bytes).sum();
+        let peak_calls = counts.seconds.iter().map(|load| load.calls).max().unwrap_or_default();
+        let peak_bytes = counts.seconds.iter().map(|load| load.bytes).max().unwrap_or_default();
+        let instance_seconds = seconds * point.instances as f64;
+        let PropagationSummary { median, upper, longest, in_force, late, .. } = *propagation;
+        PointResult {
+            point,
+            measured_seconds: seconds,
+            each_instance: rate(total_calls, total_bytes, instance_seconds),
+            busiest_instance: rate(most_calls, most_bytes, seconds),
+            discovery: rate(discovery_calls, discovery_bytes, seconds),
+            discovery_peak: rate(peak_calls, peak_bytes, 1.0),
+            turned_away_per_second: counts.turned_away as f64 / seconds,
+            changes: propagation.changes,
+            in_force,
+            in_force_after_milliseconds: InForceAfter {
+                median: median as f64 / MICROS_PER_MILLI,
+                p99: upper as f64 / MICROS_PER_MILLI,
+                max: longest as f64 / MICROS_PER_MILLI,
+            },
+            in_force_after_6_seconds_percent: PERCENT * late as f64 / in_force.max(1) as f64,
+            not_in_force: propagation.missing,
+        }
+    }
+
+    /// What else happened in the run.
+    pub fn case(&self) -> Case {
+        self.point.case
+    }
+
+    fn row(&self) -> Vec<String> {
+        let InForceAfter { median, p99, max } = self.in_force_after_milliseconds;
+        vec![
+            self.point.instances.to_string(),
+            self.changes.to_string(),
+            format!("{:.2}", self.each_instance.calls_per_second),
+            format!("{:.0}", self.each_instance.bytes_per_second),
+            format!("{:.2}", self.busiest_instance.calls_per_second),
+            format!("{:.0}", self.discovery.calls_per_second),
+            kibibytes(self.discovery),
+            format!("{:.0}", self.discovery_peak.calls_per_second),
+            kibibytes(self.discovery_peak),
+            format!("{:.1}", self.turned_away_per_second),
+            format!("{median:.0}"),
+            format!("{p99:.0}"),
+            format!("{max:.0}"),
+            format!("{:.2}", self.in_force_after_6_seconds_percent),
+            self.not_in_force.to_string(),
+        ]
+    }
+}
+
+fn rate(calls: u64, bytes: u64, seconds: f64) -> Rate {
+    Rate { calls_per_second: calls as f64 / seconds, bytes_per_second: bytes as f64 / seconds }
+}
+
+fn kibibytes(rate: Rate) -> String {
+    format!("{:.1}", rate.bytes_per_second / BYTES_PER_KIBIBYTE)
+}
+
+/// The table of the points of one case.
+pub(super) fn point_table(results: &[&PointResult]) -> String {
+    let header = [
+        "instances",
+        "changes",
+        "calls/s each",
+        "B/s each",
+        "busiest calls/s",
+        "discovery calls/s",
+        "KiB/s",
+        "peak calls/s",
+        "peak KiB/s",
+        "turned away/s",
+        "in force ms",
+        "p99 ms",
+        "max ms",
+        "over 6 s %",
+        "not in force",
+    ];
+    table(&header, results.iter().map(|result| result.row()))
+}
--- a/scale/src/policy/experiment.rs
+++ b/scale/src/policy/experiment.rs
@@ -10,14 +10,13 @@
     MIN_RUNS_FOR_SLOPES,
 };
 use crate::policy::run_process;
+use crate::progress::progress_bar;
 use crate::provenance::{Provenance, COMMIT};
 use crate::report::RecordFile;
 use clap::ValueEnum;
-use indicatif::{ProgressBar, ProgressStyle};
+use indicatif::ProgressBar;
 use std::io::{self, Write};
 
-const PROGRESS_TEMPLATE: &str = "{bar:30} {pos}/{len} runs, {msg}";
-
 /// Runs the experiment from its arguments to its results.
 pub(super) fn run(arguments: &PolicyArguments) -> Result<(), ScaleError> {
     let plan = Plan::load(arguments)?;
@@ -103,12 +102,6 @@
     Ok(())
 }
 
-/// A progress bar on standard error, hidden where that is no terminal.
-fn progress_bar(runs: u64) -> ProgressBar {
-    let style = ProgressStyle::with_template(PROGRESS_TEMPLATE).expect("the template is valid");
-    ProgressBar::new(runs).with_style(style)
-}
-
 /// The results of one series.
 #[derive(Debug)]
 struct SeriesResults<'a> {
--- /dev/null
+++ b/scale/tests/discovery.rs
@@ -0,0 +1,128 @@
+//! `scale discovery` through its binary, at a small size.
+
+mod common;
+
+use common::{of_kind, records, rejection, Folder, STATUS_INTERRUPTED};
+use serde_json::Value;
+
+/// A scenario that takes a moment.
+const SCENARIO: &str = include_str!("common/small_discovery.toml");
+const ARGUMENTS: [&str; 5] = ["discovery", "--scenario", "small.toml", "--json", "out.jsonl"];
+const CASES: [&str; 4] = ["steady_changes", "rolling_restart", "zone_outage", "silence"];
+
+/// Plays the scenario with further arguments; gives the records of its points.
+fn play(scenario: &str, arguments: &[&str]) -> Vec<Value> {
+    let folder = Folder::with_scenario(scenario);
+    let output = folder.scale(&[&ARGUMENTS[..], arguments].concat());
+    assert!(output.status.success(), "{output:?}");
+    records(&folder.read("out.jsonl"))
+}
+
+fn number(record: &Value, pointer: &str) -> f64 {
+    let value = record.pointer(pointer).unwrap_or_else(|| panic!("{pointer}: {record}"));
+    value.as_f64().unwrap_or_else(|| panic!("{pointer}: {record}"))
+}
+
+#[test]
+fn a_small_run_prints_a_table_a_case_and_writes_a_record_a_point() {
+    let folder = Folder::with_scenario(SCENARIO);
+    let output = folder.scale(&ARGUMENTS);
+    assert!(output.status.success(), "{output:?}");
+    assert!(output.stderr.is_empty(), "{output:?}");
+    let printed = String::from_utf8(output.stdout).unwrap();
+    for title in ["steady changes", "rolling restart", "zone outage", "silence"] {
+        assert!(printed.lines().any(|line| line == title), "{title}: {printed}");
+    }
+    let records = records(&folder.read("out.jsonl"));
+    let points = of_kind(&records, "point");
+    let seen: Vec<_> = points.iter().map(|point| (&point["case"], &point["instances"])).collect();
+    let expected: Vec<(Value, Value)> =
+        CASES.into_iter().flat_map(|case| [8, 40].map(|count| (case.into(), count.into()))).collect();
+    assert_eq!(seen, expected.iter().map(|(case, count)| (case, count)).collect::<Vec<_>>());
+    for point in points {
+        assert_eq!((&point["experiment"], &point["seed"]), (&"discovery".into(), &7.into()));
+        assert!(point["commit"].is_string());
+        assert_eq!(point["command_line"][1], "discovery");
+        assert_eq!(point["not_in_force"], 0, "{point}");
+        let [median, p99, max] = ["median", "p99", "max"]
+            .map(|part| number(point, &format!("/in_force_after_milliseconds/{part}")));
+        assert!(0.0 < median && median <= p99 && p99 <= max, "{point}");
+    }
+}
+
+#[test]
+fn each_case_shows_its_load_and_its_delays() {
+    let points = play(SCENARIO, &["--instances", "40"]);
+    let [steady, restart, zone, silence] = &points[..] else { panic!("{points:?}") };
+    let instances = 40.0;
+    let changes = number(steady, "/changes");
+    // A call a second, and one more for each change.
+    let calls = number(steady, "/each_instance/calls_per_second");
+    assert!(calls > 0.9 && calls < 1.1 + changes / 60.0, "{steady}");
+    let at_discovery = number(steady, "/discovery/calls_per_second");
+    assert!((at_discovery / (calls * instances) - 1.0).abs() < 0.01, "{steady}");
+    assert_eq!(number(steady, "/in_force"), changes * instances);
+    assert_eq!(number(steady, "/turned_away_per_second"), 0.0);
+    let longest = |point| number(point, "/in_force_after_milliseconds/max");
+    assert!(longest(steady) < 1_000.0, "{steady}");
+    // A process that starts again waits for its turn.
+    assert!(longest(restart) > longest(steady), "{restart}");
+    // Fifteen entries of over a hundred bytes go to thirty instances at once.
+    let peak_bytes = |point| number(point, "/discovery_peak/bytes_per_second");
+    let zone_bytes = 15.0 * 100.0 * 30.0;
+    assert!(peak_bytes(steady) < zone_bytes && peak_bytes(zone) > zone_bytes, "{zone}");
+    // A silent call is given up after 2.5 s, and 40 watches begin anew at 10 a second.
+    assert!(longest(silence) > 2_000.0, "{silence}");
+    assert!(number(silence, "/turned_away_per_second") > 0.0, "{silence}");
+}
+
+#[test]
+fn the_same_seed_gives_the_same_figures_and_another_seed_others() {
+    let first = play(SCENARIO, &["--instances", "40"]);
+    assert_eq!(first, play(SCENARIO, &["--instances", "40"]));
+    let other = play(SCENARIO, &["--instances", "40", "--seed", "8"]);
+    let figures =
+        |points: &[Value]| points.iter().map(|point| point["discovery"].clone()).collect::<Vec<_>>();
+    assert_ne!(figures(&first), figures(&other));
+}
+
+#[test]
+fn an_agent_beside_each_instance_turns_nobody_away() {
+    let pushed = SCENARIO.replacen("on_request", "pushed", 1);
+    let points = play(&pushed, &["--cases", "silence", "--instances", "40"]);
+    assert_eq!(points.len(), 1);
+    assert_eq!(number(&points[0], "/turned_away_per_second"), 0.0);
+    assert_eq!(number(&points[0], "/in_force_after_6_seconds_percent"), 0.0);
+}
+
+/// What is wrong in the scenario, the number of its line, its key, and a part of what is said.
+const WRONG_LINES: [(&str, &str, usize, &str, &str); 6] = [
+    ("zones = 4", "zone = 4", 4, "zone", "unknown field"),
+    ("listed = 60", "listed = 0", 3, "listed", "0 is out of range, 1 to 1000000"),
+    ("\"on_request\"", "\"pulled\"", 5, "mode", "unknown variant"),
+    ("step_s = 5", "step_s = 7", 23, "rolling_restart.step_s", "ends at 70 s, after phases.measured_s of 60"),
+    ("lasts_s = 20", "lasts_s = 51", 27, "zone_outage.lasts_s", "ends at 61 s"),
+    ("unreachable_s = 8", "unreachable_s = 31", 31, "silence.unreachable_s", "ends at 61 s"),
+];
+
+#[test]
+fn a_wrong_scenario_is_told_in_one_line_by_file_line_and_key() {
+    for (right, wrong, line, key, reason) in WRONG_LINES {
+        let folder = Folder::with_scenario(&SCENARIO.replacen(right, wrong, 1));
+        let said = rejection(&folder, &ARGUMENTS);
+        let place = format!("scale: small.toml:{line}: {key}: ");
+        assert!(said.starts_with(&place) && said.contains(reason), "{wrong}: {said}");
+    }
+}
+
+#[test]
+fn an_interrupt_leaves_what_is_done() {
+    let folder = Folder::with_scenario(SCENARIO);
+    // The second point takes far longer than an interrupt.
+    let arguments = [&ARGUMENTS[..], &["--cases", "steady_changes", "--instances", "8,5000"]].concat();
+    let output = folder.scale_interrupted_after(&arguments, "point measured");
+    assert_eq!(output.status.code(), Some(STATUS_INTERRUPTED), "{output:?}");
+    assert!(String::from_utf8(output.stdout).unwrap().contains("steady changes"));
+    assert_eq!(records(&folder.read("out.jsonl")).len(), 1);
+    assert_eq!(folder.names(), ["out.jsonl", "small.toml"]);
+}
