--- a/scale/src/discovery/meter.rs
+++ b/scale/src/discovery/meter.rs
@@ -12,6 +12,21 @@
 }
 
 impl Load {
+    /// The sum of some loads.
+    pub fn total(loads: &[Load]) -> Load {
+        let mut total = Load::default();
+        loads.iter().for_each(|load| total.add(load.calls, load.bytes as usize));
+        total
+    }
+
+    /// The most calls and the most bytes of some loads, which need not come together.
+    pub fn greatest(loads: &[Load]) -> Load {
+        Load {
+            calls: loads.iter().map(|load| load.calls).max().unwrap_or_default(),
+            bytes: loads.iter().map(|load| load.bytes).max().unwrap_or_default(),
+        }
+    }
+
     fn add(&mut self, calls: u64, bytes: usize) {
         self.calls += calls;
         self.bytes += bytes as u64;
--- a/scale/src/discovery/results.rs
+++ b/scale/src/discovery/results.rs
@@ -1,5 +1,6 @@
 //! Results of the points: the table and the records.
 
+use crate::discovery::meter::Load;
 use crate::discovery::plan::{Case, Point};
 use crate::discovery::propagation::PropagationSummary;
 use crate::discovery::run::Measurement;
@@ -20,6 +21,13 @@
     bytes_per_second: f64,
 }
 
+impl Rate {
+    fn over(seconds: f64, load: Load) -> Rate {
+        let Load { calls, bytes } = load;
+        Rate { calls_per_second: calls as f64 / seconds, bytes_per_second: bytes as f64 / seconds }
+    }
+}
+
 /// The figures of a point.
 #[derive(Clone, Debug, Serialize)]
 pub(super) struct PointResult {
@@ -75,23 +83,15 @@
     pub fn new(point: Point, measurement: &Measurement) -> PointResult {
         let Measurement { span, counts, propagation } = measurement;
         let seconds = span.as_secs_f64();
-        let total_calls: u64 = counts.instances.iter().map(|load| load.calls).sum();
-        let total_bytes: u64 = counts.instances.iter().map(|load| load.bytes).sum();
-        let most_calls = counts.instances.iter().map(|load| load.calls).max().unwrap_or_default();
-        let most_bytes = counts.instances.iter().map(|load| load.bytes).max().unwrap_or_default();
-        let discovery_calls: u64 = counts.seconds.iter().map(|load| load.calls).sum();
-        let discovery_bytes: u64 = counts.seconds.iter().map(|load| load.bytes).sum();
-        let peak_calls = counts.seconds.iter().map(|load| load.calls).max().unwrap_or_default();
-        let peak_bytes = counts.seconds.iter().map(|load| load.bytes).max().unwrap_or_default();
         let instance_seconds = seconds * point.instances as f64;
         let PropagationSummary { median, upper, longest, in_force, late, .. } = *propagation;
         PointResult {
             point,
             measured_seconds: seconds,
-            each_instance: rate(total_calls, total_bytes, instance_seconds),
-            busiest_instance: rate(most_calls, most_bytes, seconds),
-            discovery: rate(discovery_calls, discovery_bytes, seconds),
-            discovery_peak: rate(peak_calls, peak_bytes, 1.0),
+            each_instance: Rate::over(instance_seconds, Load::total(&counts.instances)),
+            busiest_instance: Rate::over(seconds, Load::greatest(&counts.instances)),
+            discovery: Rate::over(seconds, Load::total(&counts.seconds)),
+            discovery_peak: Rate::over(1.0, Load::greatest(&counts.seconds)),
             turned_away_per_second: counts.turned_away as f64 / seconds,
             changes: propagation.changes,
             in_force,
@@ -132,10 +132,6 @@
     }
 }
 
-fn rate(calls: u64, bytes: u64, seconds: f64) -> Rate {
-    Rate { calls_per_second: calls as f64 / seconds, bytes_per_second: bytes as f64 / seconds }
-}
-
 fn kibibytes(rate: Rate) -> String {
     format!("{:.1}", rate.bytes_per_second / BYTES_PER_KIBIBYTE)
 }
