--- a/scale/src/discovery/plan.rs
+++ b/scale/src/discovery/plan.rs
@@ -18,6 +18,8 @@
 const BUILT_IN_SCENARIO: &str = include_str!("../../scenarios/discovery.toml");
 const BUILT_IN_NAME: &str = "scale/scenarios/discovery.toml";
 const SECONDS_PER_DAY: f64 = 86_400.0;
+/// How long after the watches fell silent a change comes that they miss.
+const MISSED_CHANGE_AFTER: Duration = Duration::from_millis(100);
 /// The zone that fails.
 pub(super) const FAILING_ZONE: usize = 0;
 
@@ -200,8 +202,10 @@
     let settings = &scenario.silence;
     let from = seconds(settings.unreachable_from_s);
     let until = from + seconds(*settings.unreachable_s.get_ref());
+    let watches_silent_at = seconds(*settings.watches_silent_at_s.get_ref());
     vec![
-        Step { at: seconds(*settings.watches_silent_at_s.get_ref()), action: Action::SilenceWatches },
+        Step { at: watches_silent_at, action: Action::SilenceWatches },
+        Step { at: watches_silent_at + MISSED_CHANGE_AFTER, action: Action::ChangeEndpoint },
         Step { at: from, action: Action::Unreachable { until } },
         Step { at: until, action: Action::Reachable },
     ]
