--- a/scale/src/discovery/plan.rs
+++ b/scale/src/discovery/plan.rs
@@ -14,7 +14,7 @@
 use std::ops::Range;
 use std::time::Duration;
 
-/// The built-in scenario, and the name under which its errors are told.
+/// The built-in scenario, and the name under which its errors are reported.
 const BUILT_IN_SCENARIO: &str = include_str!("../../scenarios/discovery.toml");
 const BUILT_IN_NAME: &str = "scale/scenarios/discovery.toml";
 const SECONDS_PER_DAY: f64 = 86_400.0;
--- a/scale/tests/common/mod.rs
+++ b/scale/tests/common/mod.rs
@@ -82,7 +82,7 @@
     let output = folder.scale(arguments);
     assert_eq!(output.status.code(), Some(STATUS_BAD_INPUT), "{output:?}");
     assert!(output.stdout.is_empty(), "{output:?}");
-    let said = String::from_utf8(output.stderr).unwrap();
-    assert_eq!(said.lines().count(), 1, "{said}");
-    said
+    let error = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(error.lines().count(), 1, "{error}");
+    error
 }
