--- a/scale/tests/common/mod.rs
+++ b/scale/tests/common/mod.rs
@@ -86,3 +86,16 @@
     assert_eq!(error.lines().count(), 1, "{error}");
     error
 }
+
+/// A line of a scenario, what is wrong in its place, the number of the line, its key, and a part of the message.
+pub type WrongLine = (&'static str, &'static str, usize, &'static str, &'static str);
+
+/// Each wrong line is reported by file, line and key.
+pub fn assert_wrong_lines_are_reported(scenario: &str, arguments: &[&str], wrong_lines: &[WrongLine]) {
+    for (right, wrong, line, key, reason) in wrong_lines {
+        let folder = Folder::with_scenario(&scenario.replacen(right, wrong, 1));
+        let error = rejection(&folder, arguments);
+        let place = format!("scale: {SCENARIO_NAME}:{line}: {key}: ");
+        assert!(error.starts_with(&place) && error.contains(reason), "{wrong}: {error}");
+    }
+}
--- a/scale/tests/discovery.rs
+++ b/scale/tests/discovery.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{of_kind, records, rejection, Folder, STATUS_INTERRUPTED};
+use common::{assert_wrong_lines_are_reported, of_kind, records, Folder, WrongLine, STATUS_INTERRUPTED};
 use serde_json::Value;
 
 /// A scenario that takes a moment.
@@ -96,8 +96,7 @@
     assert_eq!(number(&points[0], "/in_force_after_6_seconds_percent"), 0.0);
 }
 
-/// What is wrong in the scenario, the number of its line, its key, and a part of the message.
-const WRONG_LINES: [(&str, &str, usize, &str, &str); 6] = [
+const WRONG_LINES: [WrongLine; 6] = [
     ("zones = 4", "zone = 4", 4, "zone", "unknown field"),
     ("listed = 60", "listed = 0", 3, "listed", "0 is out of range, 1 to 1000000"),
     ("\"on_request\"", "\"pulled\"", 5, "mode", "unknown variant"),
@@ -108,12 +107,7 @@
 
 #[test]
 fn a_wrong_scenario_is_reported_on_one_line_with_file_line_and_key() {
-    for (right, wrong, line, key, reason) in WRONG_LINES {
-        let folder = Folder::with_scenario(&SCENARIO.replacen(right, wrong, 1));
-        let error = rejection(&folder, &ARGUMENTS);
-        let place = format!("scale: small.toml:{line}: {key}: ");
-        assert!(error.starts_with(&place) && error.contains(reason), "{wrong}: {error}");
-    }
+    assert_wrong_lines_are_reported(SCENARIO, &ARGUMENTS, &WRONG_LINES);
 }
 
 #[test]
--- a/scale/tests/policy.rs
+++ b/scale/tests/policy.rs
@@ -2,7 +2,9 @@
 
 mod common;
 
-use common::{of_kind, records, rejection, Folder, STATUS_INTERRUPTED};
+use common::{
+    assert_wrong_lines_are_reported, of_kind, records, rejection, Folder, WrongLine, STATUS_INTERRUPTED,
+};
 
 /// A scenario that takes a moment.
 const SCENARIO: &str = include_str!("common/small_policy.toml");
@@ -84,8 +86,7 @@
     assert_eq!((of_kind(&records, "skipped").len(), of_kind(&records, "point").len()), (1, 1));
 }
 
-/// What is wrong in the scenario, the number of its line, its key, and a part of the reason.
-const WRONG_LINES: [(&str, &str, usize, &str, &str); 8] = [
+const WRONG_LINES: [WrongLine; 8] = [
     ("seed = 7", "sede = 7", 1, "sede", "unknown field"),
     ("slots = 50", "slots = 50\nslot = 50", 6, "policy.slot", "unknown field"),
     ("slots = 50", "slots = 0", 5, "policy.slots", "0 is out of range, 1 to 1000000"),
@@ -98,12 +99,7 @@
 
 #[test]
 fn a_wrong_scenario_is_reported_on_one_line_with_file_line_and_key() {
-    for (right, wrong, line, key, reason) in WRONG_LINES {
-        let folder = Folder::with_scenario(&SCENARIO.replacen(right, wrong, 1));
-        let error = rejection(&folder, &["policy", "--scenario", "small.toml"]);
-        let place = format!("scale: small.toml:{line}: {key}: ");
-        assert!(error.starts_with(&place) && error.contains(reason), "{wrong}: {error}");
-    }
+    assert_wrong_lines_are_reported(SCENARIO, &["policy", "--scenario", "small.toml"], &WRONG_LINES);
 }
 
 #[test]
