--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,9 @@
 //! A forwarder in small: it feeds a module, carries out its timers and checks every action against the rules.
 #![allow(dead_code)]
 
+pub mod steps;
+pub mod traffic;
+
 use hatchline::*;
 use std::collections::{BTreeMap, BTreeSet};
 
