Keep an index of destinations with something ready

Each decision went over all listed destinations to find those with messages ready, and so did each request while room was short. Destinations with their queues now stand in src/destinations.rs beside an ordered set of those that have something ready, kept by enqueue and dequeue.

--- /dev/null
+++ b/src/destinations.rs
@@ -0,0 +1,72 @@
+//! Destinations with what is queued for them, and an index of those that have something ready.
+
+use crate::interface::*;
+use crate::state::Queue;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A destination and what is held for it.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub(crate) struct Destination {
+    pub routes: Vec<usize>,
+    /// Messages ready to go, oldest first. No queue is empty.
+    pub ready: BTreeMap<Queue, BTreeSet<(Micros, MessageId)>>,
+}
+
+impl Destination {
+    /// Messages that stand ready to go.
+    pub fn queued(&self) -> usize {
+        self.ready.values().map(BTreeSet::len).sum()
+    }
+
+    /// Those of them that no restart found untried.
+    pub fn queued_since(&self) -> usize {
+        self.ready.iter().filter(|((.., found), _)| !found).map(|(_, set)| set.len()).sum()
+    }
+}
+
+/// All destinations in the order of their numbers, and which of them have something ready.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub(crate) struct Destinations {
+    all: BTreeMap<DestinationId, Destination>,
+    ready: BTreeSet<DestinationId>,
+}
+
+impl Destinations {
+    /// A destination that is known.
+    pub fn get(&self, id: DestinationId) -> Option<&Destination> {
+        self.all.get(&id)
+    }
+
+    /// A destination, made if it is not known.
+    pub fn entry(&mut self, id: DestinationId) -> &mut Destination {
+        self.all.entry(id).or_default()
+    }
+
+    /// Those that have something ready, in the order of their numbers.
+    pub fn ready(&self) -> impl Iterator<Item = (DestinationId, &Destination)> {
+        self.ready.iter().map(|id| (*id, &self.all[id]))
+    }
+
+    /// Puts a message into a queue of its destination, by the time it was born.
+    pub fn enqueue(&mut self, id: DestinationId, queue: Queue, message: (Micros, MessageId)) {
+        let destination = self.all.entry(id).or_default();
+        if destination.ready.is_empty() {
+            self.ready.insert(id);
+        }
+        destination.ready.entry(queue).or_default().insert(message);
+    }
+
+    /// Takes a message out of a queue of its destination.
+    pub fn dequeue(&mut self, id: DestinationId, queue: Queue, message: (Micros, MessageId)) {
+        let Some(destination) = self.all.get_mut(&id) else { return };
+        let Some(messages) = destination.ready.get_mut(&queue) else { return };
+        messages.remove(&message);
+        if messages.is_empty() {
+            destination.ready.remove(&queue);
+        }
+        if destination.ready.is_empty() {
+            self.ready.remove(&id);
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 #![warn(missing_docs)]
 
 mod answer_histogram;
+mod destinations;
 pub mod interface;
 mod policy;
 pub mod settings;
--- a/src/policy/endpoint_list.rs
+++ b/src/policy/endpoint_list.rs
@@ -24,7 +24,7 @@
             let phase = self.random();
             let kind = e.kind as usize;
             let apart = self.settings.routes_apart.get(kind).copied().unwrap_or(false);
-            let d = self.destinations.entry(e.destination).or_default();
+            let d = self.destinations.entry(e.destination);
             let known = self.targets.get(&e.target).map(|t| t.route);
             let route = known.or(if apart { None } else { d.routes.first().copied() }).unwrap_or_else(|| {
                 let fee =
@@ -43,7 +43,7 @@
             let fresh = Target { route, zone: e.zone, ..Target::default() };
             let t = self.targets.entry(e.target).or_insert(fresh);
             t.state = if late { e.state.max(t.state) } else { e.state };
-            let d = self.destinations.get(&e.destination).filter(|_| known.is_none());
+            let d = self.destinations.get(e.destination).filter(|_| known.is_none());
             let found = d.into_iter().flat_map(|d| &d.ready).filter(|((.., found), _)| *found);
             let ids = found.flat_map(|(_, set)| set).map(|(_, id)| *id);
             for id in ids.collect::<Vec<_>>() {
--- a/src/policy/messages.rs
+++ b/src/policy/messages.rs
@@ -21,7 +21,7 @@
         if order_key != 0 {
             self.order_queues.entry(order_key).or_default().0.push_back(id);
         }
-        if let Some(d) = self.destinations.get(&self.messages[&id].destination) {
+        if let Some(d) = self.destinations.get(self.messages[&id].destination) {
             d.routes.iter().for_each(|l| self.routes[*l].recent_requests += 1.0 / d.routes.len() as f64);
         }
         self.enqueue(id);
@@ -36,7 +36,7 @@
         if in_order && m.order_key != 0 && m.ran.is_some() {
             self.order_queues.entry(m.order_key).or_default().1 = self.now + self.settings.rules.order_pause;
         }
-        let d = self.destinations.get(&m.destination).filter(|_| m.found);
+        let d = self.destinations.get(m.destination).filter(|_| m.found);
         for route in d.map(|d| d.routes.clone()).unwrap_or_default() {
             self.call_in_time(route, m.expires);
         }
@@ -53,7 +53,7 @@
         if self.messages.len() + room <= self.settings.max_held as usize {
             return;
         }
-        let longest = self.destinations.values().max_by_key(|d| d.queued_since());
+        let longest = self.destinations.ready().map(|(_, d)| d).max_by_key(|d| d.queued_since());
         let since = longest.into_iter().flat_map(|d| &d.ready).filter(|((.., found), _)| !found);
         let oldest = since.filter_map(|((c, ..), set)| {
             let (born, id) = set.first()?;
@@ -111,19 +111,14 @@
             _ => {}
         }
         let (queue, born) = ((m.class, zone, m.found), m.born);
-        let d = self.destinations.entry(m.destination).or_default();
-        d.ready.entry(queue).or_default().insert((born, id));
+        self.destinations.enqueue(m.destination, queue, (born, id));
         self.messages.entry(id).and_modify(|m| m.queue = Some(queue));
     }
 
     pub(super) fn dequeue(&mut self, id: MessageId) {
         let Some(m) = self.messages.get_mut(&id) else { return };
         let Some(queue) = m.queue.take() else { return };
-        let Some(d) = self.destinations.get_mut(&m.destination) else { return };
-        if let Some(set) = d.ready.get_mut(&queue) {
-            set.remove(&(m.born, id));
-        }
-        d.ready.retain(|_, set| !set.is_empty());
+        self.destinations.dequeue(m.destination, queue, (m.born, id));
     }
 
     /// Ends a message that is not (or no longer) out: refused where that is true to the client and its time
@@ -138,7 +133,7 @@
 
     /// How long a client should stay away: until its destination takes calls and has served its queue.
     pub fn advice(&self, destination: DestinationId) -> Micros {
-        let d = self.destinations.get(&destination).filter(|_| self.settings.may_advise_wait);
+        let d = self.destinations.get(destination).filter(|_| self.settings.may_advise_wait);
         let served_in = |l: &Route, queued: usize| (queued as f64 / l.rate.max(1.0) * SECOND) as Micros;
         let wait = |l: &Route, queued| l.opens_at().saturating_sub(self.now) + served_in(l, queued);
         let waits = d.into_iter().flat_map(|d| d.routes.iter().map(|l| wait(&self.routes[*l], d.queued())));
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -4,6 +4,7 @@
 //! stand a window of calls in flight, a circuit breaker for destinations that look out, and pacing under limits.
 
 use crate::answer_histogram::{AnswerHistogram, BUCKETS};
+use crate::destinations::Destinations;
 use crate::interface::*;
 use crate::state::*;
 use serde::{Deserialize, Serialize};
@@ -91,7 +92,7 @@
     #[serde(skip)] late: Micros,
     pub(crate) now: Micros, seed: u64,
     messages: BTreeMap<MessageId, Message>, order_queues: BTreeMap<u64, OrderQueue>, pub(crate) routes: Vec<Route>,
-    destinations: BTreeMap<DestinationId, Destination>, pub(crate) targets: BTreeMap<TargetId, Target>,
+    destinations: Destinations, pub(crate) targets: BTreeMap<TargetId, Target>,
     pub(crate) excluded: BTreeSet<TargetId>,
     /// When to look at a message again: its time is up, or its key has rested.
     message_timers: BTreeSet<(Micros, MessageId)>,
@@ -193,8 +194,7 @@
         }
         self.wake_at = Micros::MAX;
         (self.now >= self.maintenance_at).then(|| self.maintain());
-        let ready: Vec<DestinationId> =
-            self.destinations.iter().filter(|(_, d)| !d.ready.is_empty()).map(|(id, _)| *id).collect();
+        let ready: Vec<DestinationId> = self.destinations.ready().map(|(id, _)| id).collect();
         let mut best: Vec<_> = ready.into_iter().filter_map(|d| Some((d, self.best_send(d)?))).collect();
         while self.calls_out < self.settings.slots {
             let top = (0..best.len()).max_by(|a, b| best[*a].1 .0.total_cmp(&best[*b].1 .0));
--- a/src/policy/selection.rs
+++ b/src/policy/selection.rs
@@ -57,7 +57,7 @@
 
     /// The best send for one destination now: worth, message, route, endpoint, half-open probe.
     pub(super) fn best_send(&mut self, dest: DestinationId) -> Option<Pick> {
-        let d = self.destinations.get(&dest)?;
+        let d = self.destinations.get(dest)?;
         let cap = ((f64::from(self.settings.slots) * DESTINATION_SHARE) as u32).max(1);
         let calls: usize = d.routes.iter().map(|l| self.routes[*l].calls.len()).sum();
         if calls as u32 >= cap || d.ready.is_empty() {
@@ -70,7 +70,7 @@
                 Err(at) => self.wake_at = self.wake_at.min(at),
             }
         }
-        let d = self.destinations.get(&dest)?;
+        let d = self.destinations.get(dest)?;
         let fee_of = |route: usize| self.routes[route].fee;
         let usable = |l: &&usize| {
             self.routes[**l].breaker == CircuitBreaker::Closed && self.endpoint(**l, None).is_some()
--- a/src/policy/sending.rs
+++ b/src/policy/sending.rs
@@ -70,7 +70,7 @@
         let batch = self.settings.batch.get(self.routes[route].kind).copied().unwrap_or(1);
         let zone = self.targets.get(&target).map_or(0, |t| t.zone + 1);
         for _ in 1..batch {
-            let Some(d) = self.destinations.get(&dest) else { return };
+            let Some(d) = self.destinations.get(dest) else { return };
             let open = d.ready.iter().filter(|((_, z, _), _)| *z == 0 || *z == zone);
             let next = open.filter_map(|(queue, set)| self.candidate(*queue, set));
             let Some((_, id)) = next.max_by(|a, b| a.0.total_cmp(&b.0)) else { return };
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,7 +3,7 @@
 use crate::interface::*;
 use crate::policy::AnswerTimes;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 /// Circuit state of a destination or of a route apart.
 #[derive(Clone, Copy, Debug, PartialEq, Default, Serialize, Deserialize)]
@@ -110,26 +110,6 @@
 /// untried.
 pub(crate) type Queue = (usize, u32, bool);
 
-/// A destination and what is held for it.
-#[derive(Debug, Default, Serialize, Deserialize)]
-pub(crate) struct Destination {
-    pub routes: Vec<usize>,
-    /// Messages ready to go, oldest first.
-    pub ready: BTreeMap<Queue, BTreeSet<(Micros, MessageId)>>,
-}
-
-impl Destination {
-    /// Messages that stand ready to go.
-    pub fn queued(&self) -> usize {
-        self.ready.values().map(BTreeSet::len).sum()
-    }
-
-    /// Those of them that no restart found untried.
-    pub fn queued_since(&self) -> usize {
-        self.ready.iter().filter(|((.., found), _)| !found).map(|(_, set)| set.len()).sum()
-    }
-}
-
 /// An attempt; `done` once it has its outcome.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct Attempt {
