--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 
 mod answer_histogram;
 mod destinations;
+pub mod discovery;
 pub mod interface;
 mod policy;
 pub mod settings;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,10 +1,10 @@
 //! All decisions of the delivery service. Settings, events and actions: `src/interface.rs`.
 //! Per destination: a bucketed histogram of answer times and a count of attempts without an answer give
 //! the time-out and resend point τ of least expected completion time (see [`AnswerTimes`]). Around that
-//! stand a window of calls in flight, a circuit breaker for destinations that look out, and pacing under limits.
+//! stand a window of calls in flight, a circuit breaker for what looks out, and a rate limit under limits.
 
 use crate::answer_histogram::{AnswerHistogram, BUCKETS};
-use crate::destinations::Destinations;
+use crate::destinations::{Destination, Destinations};
 use crate::interface::*;
 use crate::state::*;
 use serde::{Deserialize, Serialize};
@@ -41,7 +41,7 @@
 const FAIL_WEIGHT: f64 = 0.22;
 const LOSSY: f64 = 0.2;
 const MOSTLY_FAILING: f64 = 0.5;
-/// To what a refusal cuts the rate limit; parts by which a served call, at most, and a span of maintenance raise it.
+/// To what a refusal cuts the rate limit; parts by which a served call, at most, and maintenance raise it.
 const RATE_CUT: f64 = 0.7;
 const RATE_RAISE: f64 = 0.08;
 const RATE_DRIFT: f64 = 0.005;
@@ -62,7 +62,7 @@
 /// Unanswered call time, in mean answer times, that makes silence unlikely to be chance.
 const SILENCE_MEANS: f64 = 12.0;
 /// Calls of all replicas in the tip time which do no harm, by the terms; least capacity of a destination in
-/// calls a second; spans of a trouble so far between two half-open probes, of four replicas and of many: these come to
+/// calls a second; spans of a trouble so far between two probes, of four replicas and of many: these come to
 /// know of it one after the other, try in step with its age, and add up to four times what one span has.
 const SLACK: f64 = 2.0;
 const LEAST_TOGETHER: f64 = 2.5;
@@ -76,7 +76,7 @@
 /// Connections in a row that are closed after use once one was turned away from a full table: where calls
 /// alone take up most of it, one in some tens meets it full.
 const CLOSED_AFTER_CROWD: u32 = 32;
-/// Connections that an endpoint is sure to take: while each replica has its even part of them, those that rest
+/// Connections that an endpoint is sure to take: while each replica has its even part, those that rest
 /// harm nobody.
 const EVEN_PLACES: f64 = 16.0;
 /// Part of the multiple that would push a cold destination over which all replicas together may use.
@@ -91,7 +91,8 @@
     /// How late what is decided may be carried out: a message's time is over so much earlier.
     #[serde(skip)] late: Micros,
     pub(crate) now: Micros, seed: u64,
-    messages: BTreeMap<MessageId, Message>, order_queues: BTreeMap<u64, OrderQueue>, pub(crate) routes: Vec<Route>,
+    messages: BTreeMap<MessageId, Message>, order_queues: BTreeMap<u64, OrderQueue>,
+    pub(crate) routes: Vec<Route>,
     destinations: Destinations, pub(crate) targets: BTreeMap<TargetId, Target>,
     pub(crate) excluded: BTreeSet<TargetId>,
     /// When to look at a message again: its time is up, or its key has rested.
@@ -120,7 +121,7 @@
             delivered,
             ..DeliveryPolicy::default()
         };
-        DeliveryPolicy { retry_jitter: fresh.even_interval().min(fresh.least_aim()), ..fresh }
+        DeliveryPolicy { retry_jitter: fresh.even_interval().min(fresh.settings.least_aim()), ..fresh }
     }
 
     /// Takes in one thing that happened. Sends are chosen in [`DeliveryPolicy::decide`].
@@ -168,14 +169,6 @@
         self.out.extend((self.logged <= 100).then_some(Action::Log { text }));
     }
 
-    fn least_aim(&self) -> f64 {
-        self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(1_000_000) as f64
-    }
-
-    fn longest_deadline(&self) -> f64 {
-        self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(MAINTENANCE_INTERVAL).max(1) as f64
-    }
-
     /// Chooses what is sent now. Call it once after the last event of a moment.
     pub fn decide(&mut self, now: Micros, out: &mut Vec<Action>) {
         self.now = now;
@@ -231,13 +224,14 @@
     fn maintain(&mut self) {
         self.maintenance_at = self.now + MAINTENANCE_INTERVAL;
         self.order_queues.retain(|_, (line, rest)| !line.is_empty() || *rest > self.now);
-        let keep = 0.5f64.powf(MAINTENANCE_INTERVAL as f64 / self.longest_deadline());
+        let keep = 0.5f64.powf(MAINTENANCE_INTERVAL as f64 / self.settings.longest_deadline());
         self.averaging_window = self.averaging_window * keep + MAINTENANCE_INTERVAL as f64 / SECOND;
         self.arrived.iter_mut().chain(&mut self.delivered).for_each(|n| *n *= keep);
         for route in 0..self.routes.len() {
             let l = &mut self.routes[route];
             l.times.age(keep);
             l.recent_requests *= keep;
+            l.recent_repeatable *= keep;
             if l.times.answers >= WARM_UP {
                 // A resend throws work away and does it again: its cost c is a mean answer.
                 l.times.retune(l.times.mean());
@@ -245,8 +239,8 @@
             l.rate *= RATE_KEEP;
             l.rate_limit +=
                 if l.rate_limit > 0.0 && l.limit <= 0.0 { RATE_DRIFT * (l.rate_limit + 0.5) } else { 0.0 };
-            if matches!(l.breaker, CircuitBreaker::SlowStart { since } if self.now > since + self.settings.rules.ramp_time)
-            {
+            let ramp = self.settings.rules.ramp_time;
+            if matches!(l.breaker, CircuitBreaker::SlowStart { since } if self.now > since + ramp) {
                 l.breaker = CircuitBreaker::Closed;
             }
             let out = l.breaker.is_open();
