Keep state for active destinations, and go over these alone

Each listed line made a route (over 900 bytes) and an endpoint's state, kept for ever, and maintenance went over all of them ten times a second.

The listing (src/listing.rs) now keeps what discovery told, and what a route made later needs to be as one made at the listing: the phase drawn then, and when that was. Routes and endpoints get state at their destination's first message and lose it in a maintenance once nothing is held or out for it and it has nothing to remember. src/policy/idleness.rs lists with reasons what outlives idleness: told waits, open breakers, troubles and failing routes, slow starts, rate limits that refusals have cut, re-admissions in their ramp, avoided endpoints and connections of late, and answer times and request rates that have not faded. Exclusions and drains stand elsewhere and stay. Endpoints that are gone are forgotten after a grace but for their names, so that a list of a lower version revives none.

What dropping changes: answer times, tau, the window and the resend budget that had faded were kept for ever and now begin anew, as does the choice between endpoints once their connections are idle for too long; a share of failures at or under the lossy bound is forgotten; a limit that only reports told is forgotten with the answer times; a rate that is listed anew before the first message starts the rate limit at its own even part, not at that of the first; an endpoint that is gone for longer than its grace and listed again stands last and has a new phase.

--- a/src/answer_histogram.rs
+++ b/src/answer_histogram.rs
@@ -7,7 +7,7 @@
 /// Width of a bucket before anything is recorded, in microseconds.
 const FIRST_WIDTH: f64 = 1000.0;
 /// Weight of a bucket, in answers, below which it has faded.
-const FADED: f64 = 0.05;
+pub(crate) const FADED: f64 = 0.05;
 /// Share of the answers in the upper half of the buckets below which the buckets become narrower.
 const UPPER_HALF_EMPTY: f64 = 0.02;
 
--- a/src/destinations.rs
+++ b/src/destinations.rs
@@ -9,6 +9,8 @@
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Destination {
     pub routes: Vec<usize>,
+    /// Messages that are not over, or whose calls are out.
+    pub held: u32,
     /// Messages ready to go, oldest first. No queue is empty.
     pub ready: BTreeMap<Queue, BTreeSet<(Micros, MessageId)>>,
 }
@@ -23,9 +25,16 @@
     pub fn queued_since(&self) -> usize {
         self.ready.iter().filter(|((.., found), _)| !found).map(|(_, set)| set.len()).sum()
     }
+
+    /// Those that stand ready and that a restart found untried.
+    pub fn found(&self) -> Vec<MessageId> {
+        let found = self.ready.iter().filter(|((.., found), _)| *found);
+        found.flat_map(|(_, messages)| messages).map(|(_, id)| *id).collect()
+    }
 }
 
-/// All destinations in the order of their numbers, and which of them have something ready.
+/// Active destinations in the order of their numbers, and which of them have something ready. A destination is active
+/// from its first message on, until it is idle and has nothing to remember.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Destinations {
     all: BTreeMap<DestinationId, Destination>,
@@ -43,6 +52,17 @@
         self.all.entry(id).or_default()
     }
 
+    /// All, in the order of their numbers.
+    pub fn iter(&self) -> impl Iterator<Item = (DestinationId, &Destination)> {
+        self.all.iter().map(|(id, destination)| (*id, destination))
+    }
+
+    /// Takes a destination out.
+    pub fn remove(&mut self, id: DestinationId) -> Destination {
+        self.ready.remove(&id);
+        self.all.remove(&id).unwrap_or_default()
+    }
+
     /// Those that have something ready, in the order of their numbers.
     pub fn ready(&self) -> impl Iterator<Item = (DestinationId, &Destination)> {
         self.ready.iter().map(|id| (*id, &self.all[id]))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,11 +23,17 @@
 //! ```
 #![warn(missing_docs)]
 
+mod activation;
 mod answer_histogram;
 mod destinations;
 pub mod discovery;
 pub mod interface;
+mod listing;
 mod policy;
+mod pool;
+mod queueing;
+mod random;
+mod route_table;
 pub mod settings;
 mod state;
 
--- a/src/policy/endpoint_list.rs
+++ b/src/policy/endpoint_list.rs
@@ -1,4 +1,4 @@
-//! Endpoints that discovery lists: routes are made, drained and removed.
+//! Endpoints that discovery lists: taken in, drained and removed.
 
 use super::*;
 
@@ -15,40 +15,38 @@
         let late = version < self.list_version;
         self.list_version = self.list_version.max(version);
         if kind == ListKind::Full {
-            let named: BTreeSet<TargetId> = lines.iter().map(|e| e.target).collect();
-            for (_, t) in self.targets.iter_mut().filter(|(id, _)| !named.contains(id)) {
-                t.state = EndpointState::Gone;
-            }
+            let missing = self.listing.missing_in(&lines);
+            missing.into_iter().for_each(|id| self.set_state(id, EndpointState::Gone));
+        }
+        lines.into_iter().for_each(|line| self.list_line(line, late));
+    }
+
+    fn list_line(&mut self, mut line: Endpoint, late: bool) {
+        let phase = self.random.next();
+        let id = line.target;
+        if self.settings.listed_rate == ListedRate::Unknown {
+            line.rate = 0.0;
         }
-        for e in lines {
-            let phase = self.random();
-            let kind = e.kind as usize;
-            let apart = self.settings.routes_apart.get(kind).copied().unwrap_or(false);
-            let d = self.destinations.entry(e.destination);
-            let known = self.targets.get(&e.target).map(|t| t.route);
-            let route = known.or(if apart { None } else { d.routes.first().copied() }).unwrap_or_else(|| {
-                let fee =
-                    self.settings.zone_fee.get(e.zone as usize).copied().filter(|_| apart).unwrap_or(0.0);
-                let fresh = Route { kind, fee, window: 1.0, budget: RESEND_SAVED, ..Route::default() };
-                // Those that begin together do not make their first calls together.
-                self.routes.push(Route { tokens: phase, last_ok: self.now, filled: self.now, ..fresh });
-                d.routes.push(self.routes.len() - 1);
-                self.routes.len() - 1
-            });
-            let l = &mut self.routes[route];
-            if self.settings.listed_rate != ListedRate::Unknown && e.rate > 0.0 {
-                l.limit_is(e.rate, self.settings.senders);
+        let Some(known) = self.listing.get(id) else {
+            if late && self.listing.has_forgotten(id) {
+                return;
             }
-            l.targets.extend(known.is_none().then_some(e.target));
-            let fresh = Target { route, zone: e.zone, ..Target::default() };
-            let t = self.targets.entry(e.target).or_insert(fresh);
-            t.state = if late { e.state.max(t.state) } else { e.state };
-            let d = self.destinations.get(e.destination).filter(|_| known.is_none());
-            let found = d.into_iter().flat_map(|d| &d.ready).filter(|((.., found), _)| *found);
-            let ids = found.flat_map(|(_, set)| set).map(|(_, id)| *id);
-            for id in ids.collect::<Vec<_>>() {
-                self.call_in_time(route, self.messages[&id].expires);
+            self.listing.add(&line, phase, self.now);
+            if self.destinations.get(line.destination).is_some() {
+                self.activate_endpoint(id);
+                self.call_for_what_was_found(line.destination, id);
             }
+            return;
+        };
+        let state = if late { line.state.max(known.state) } else { line.state };
+        self.set_state(id, state);
+        self.set_listed_rate(id, line.rate);
+    }
+
+    fn call_for_what_was_found(&mut self, destination: DestinationId, target: TargetId) {
+        let found = self.destinations.get(destination).map(|d| d.found());
+        for id in found.unwrap_or_default() {
+            self.call_in_time(self.targets[&target].route, self.messages[&id].expires);
         }
     }
 }
--- a/src/policy/exclusions.rs
+++ b/src/policy/exclusions.rs
@@ -7,7 +7,8 @@
     /// are not used again: the endpoint's process may be another by then.
     pub(crate) fn by_hand(&mut self, target: TargetId, out: bool) {
         if !out && self.excluded.remove(&target) {
-            // It may have been started anew meanwhile.
+            // It may have been started anew meanwhile: that is remembered, message or not.
+            self.activate_destination_of(target);
             self.targets.entry(target).and_modify(|t| (t.cold, t.avoid_until) = (Some(self.now), 0));
         }
         if out {
@@ -30,20 +31,4 @@
         let rested = self.now.saturating_sub(t.last_used.max(since)) as f64 * rate >= SECOND;
         rested && l.calls.values().all(|c| c.target != id)
     }
-
-    /// Listed endpoints, and those of them that get no call at present: by hand, or since they or their
-    /// destination look out.
-    pub fn pool(&self) -> Pool {
-        let listed = self.targets.iter().filter(|(_, t)| t.state != EndpointState::Gone);
-        let avoided = |(id, t): &(&TargetId, &Target)| {
-            let out = matches!(self.routes[t.route].breaker, CircuitBreaker::Open { .. });
-            self.excluded.contains(id) || out || t.avoid_until > self.now
-        };
-        Pool { listed: listed.clone().count(), avoided: listed.filter(avoided).count() }
-    }
-
-    /// Whether the list has this endpoint.
-    pub fn lists(&self, target: TargetId) -> bool {
-        self.targets.get(&target).is_some_and(|t| t.state != EndpointState::Gone)
-    }
 }
--- a/src/policy/messages.rs
+++ b/src/policy/messages.rs
@@ -1,33 +1,21 @@
-//! Messages: taken on, queued by destination, and ended.
+//! Messages: taken on, and ended.
 
 use super::*;
 
 impl DeliveryPolicy {
     pub(super) fn request(&mut self, id: MessageId, mut m: Message) {
-        let expires = m.expires;
         if self.messages.contains_key(&id) {
             return;
         }
-        let timely = expires > self.now || m.ran.is_some();
+        let timely = m.expires > self.now || m.ran.is_some();
         let Some(c) = self.settings.classes.get(m.class).filter(|_| timely) else {
             return self.out.push(Action::Refuse { id, retry_after: 0 });
         };
-        m.born = expires.saturating_sub(c.deadline);
+        m.born = m.expires.saturating_sub(c.deadline);
         self.arrived[m.class] += 1.0;
         m.order_key *= u64::from(c.in_order);
-        let (order_key, destination, repeatable) = (m.order_key, m.destination, c.effect != Effect::Unsafe);
-        self.messages.insert(id, m);
-        self.message_timers.insert((self.give_up_at(expires), id));
-        if order_key != 0 {
-            self.order_queues.entry(order_key).or_default().0.push_back(id);
-        }
-        if let Some(d) = self.destinations.get(destination) {
-            let part = 1.0 / d.routes.len() as f64;
-            for route in &d.routes {
-                self.routes[*route].recent_requests += part;
-                self.routes[*route].recent_repeatable += if repeatable { part } else { 0.0 };
-            }
-        }
+        let repeatable = c.effect != Effect::Unsafe;
+        self.hold(id, m, repeatable);
         self.enqueue(id);
     }
 
@@ -40,6 +28,7 @@
         if in_order && m.order_key != 0 && m.ran.is_some() {
             self.order_queues.entry(m.order_key).or_default().1 = self.now + self.settings.rules.order_pause;
         }
+        self.activate(m.destination);
         let d = self.destinations.get(m.destination).filter(|_| m.found);
         for route in d.map(|d| d.routes.clone()).unwrap_or_default() {
             self.call_in_time(route, m.expires);
@@ -69,7 +58,7 @@
     }
 
     // A little before its time, so that the answer counts.
-    pub(super) fn give_up_at(&self, expires: Micros) -> Micros {
+    pub(crate) fn give_up_at(&self, expires: Micros) -> Micros {
         expires.saturating_sub(2 * self.settings.tick)
     }
 
@@ -80,7 +69,7 @@
 
     /// The one place that says what may follow for a message, from its class and its attempts' outcomes:
     /// whether it may be sent, the zone (plus one) that binds it, and whether it may be refused.
-    pub(super) fn allowed(&self, m: &Message) -> (bool, u32, bool) {
+    pub(crate) fn allowed(&self, m: &Message) -> (bool, u32, bool) {
         let c = &self.settings.classes[m.class];
         let out = m.attempts.iter().any(|a| a.done.is_none());
         let tries_left = m.attempts.len() < self.settings.max_attempts.max(1) as usize;
@@ -102,29 +91,6 @@
         c.effect != Effect::Keyed || m.ran.is_none_or(|(at, _)| self.now + self.settings.tick < at + c.window)
     }
 
-    /// Puts a message among those ready to go, if it may be sent and has the turn of its key.
-    pub(super) fn enqueue(&mut self, id: MessageId) {
-        let Some(m) = self.messages.get(&id).filter(|m| m.queue.is_none()) else { return };
-        let (true, zone, _) = self.allowed(m) else { return };
-        match self.order_queues.get(&m.order_key) {
-            Some((line, _)) if line.front() != Some(&id) => return,
-            Some((_, rest)) if *rest > self.now && m.attempts.is_empty() => {
-                self.message_timers.insert((*rest, id));
-                return;
-            }
-            _ => {}
-        }
-        let (queue, born) = ((m.class, zone, m.found), m.born);
-        self.destinations.enqueue(m.destination, queue, (born, id));
-        self.messages.entry(id).and_modify(|m| m.queue = Some(queue));
-    }
-
-    pub(super) fn dequeue(&mut self, id: MessageId) {
-        let Some(m) = self.messages.get_mut(&id) else { return };
-        let Some(queue) = m.queue.take() else { return };
-        self.destinations.dequeue(m.destination, queue, (m.born, id));
-    }
-
     /// Ends a message that is not (or no longer) out: refused where that is true to the client and its time
     /// is not over, else failed.
     pub(super) fn give_up(&mut self, id: MessageId) {
@@ -143,23 +109,4 @@
         let waits = d.into_iter().flat_map(|d| d.routes.iter().map(|l| wait(&self.routes[*l], d.queued())));
         waits.min().unwrap_or(0).min(self.settings.max_advised_wait)
     }
-
-    /// A message is over; its attempts may still be out, and its key waits for them.
-    pub(super) fn finish(&mut self, id: MessageId) {
-        self.dequeue(id);
-        let Some(m) = self.messages.get_mut(&id) else { return };
-        m.over = true;
-        let (key, expires) = (m.order_key, m.expires);
-        if m.attempts.iter().any(|a| a.done.is_none()) {
-            return;
-        }
-        self.messages.remove(&id);
-        self.message_timers.remove(&(self.give_up_at(expires), id));
-        if let Some(order_queues) = self.order_queues.get_mut(&key) {
-            order_queues.0.retain(|x| *x != id);
-            if let Some(next) = order_queues.0.front().copied() {
-                self.enqueue(next);
-            }
-        }
-    }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -3,15 +3,19 @@
 //! the time-out and resend point τ of least expected completion time (see [`AnswerTimes`]). Around that
 //! stand a window of calls in flight, a circuit breaker for what looks out, and a rate limit under limits.
 
-use crate::answer_histogram::{AnswerHistogram, BUCKETS};
+use crate::answer_histogram::{AnswerHistogram, BUCKETS, FADED};
 use crate::destinations::{Destination, Destinations};
 use crate::interface::*;
+use crate::listing::Listing;
+use crate::random::Random;
+use crate::route_table::RouteTable;
 use crate::state::*;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
 mod endpoint_list;
 mod exclusions;
+mod idleness;
 mod messages;
 mod outcomes;
 mod rates;
@@ -30,7 +34,7 @@
 const TAU_JITTER: f64 = 0.25;
 /// Resends that each answer pays for, and how many may be saved up.
 const RESEND_SHARE: f64 = 0.2;
-const RESEND_SAVED: f64 = 5.0;
+pub(crate) const RESEND_SAVED: f64 = 5.0;
 /// Part of the slots that calls to one destination may take; half while it is failing.
 const DESTINATION_SHARE: f64 = 0.75;
 /// Span of the maintenance timer, and microseconds in a second.
@@ -90,13 +94,15 @@
     #[serde(skip)] pub(crate) out: Vec<Action>,
     /// How late what is decided may be carried out: a message's time is over so much earlier.
     #[serde(skip)] late: Micros,
-    pub(crate) now: Micros, seed: u64,
-    messages: BTreeMap<MessageId, Message>, order_queues: BTreeMap<u64, OrderQueue>,
-    pub(crate) routes: Vec<Route>,
-    destinations: Destinations, pub(crate) targets: BTreeMap<TargetId, Target>,
+    pub(crate) now: Micros, random: Random,
+    pub(crate) messages: BTreeMap<MessageId, Message>, pub(crate) order_queues: BTreeMap<u64, OrderQueue>,
+    pub(crate) listing: Listing,
+    /// What is known of active destinations, their routes and endpoints.
+    pub(crate) destinations: Destinations, pub(crate) routes: RouteTable,
+    pub(crate) targets: BTreeMap<TargetId, Target>,
     pub(crate) excluded: BTreeSet<TargetId>,
     /// When to look at a message again: its time is up, or its key has rested.
-    message_timers: BTreeSet<(Micros, MessageId)>,
+    pub(crate) message_timers: BTreeSet<(Micros, MessageId)>,
     /// By class, fading: messages that came, and those delivered.
     pub(crate) arrived: Vec<f64>, pub(crate) delivered: Vec<f64>,
     maintenance_at: Micros, averaging_window: f64, retry_jitter: f64, wake_at: Micros, armed: Micros,
@@ -106,21 +112,11 @@
 impl DeliveryPolicy {
     /// A replica that has just come up.
     pub fn new(now: Micros, seed: u64, settings: Settings) -> Self {
-        // Seeds that lie near each other have to give numbers that do not, from the first on.
-        let seed = fastrand::Rng::with_seed(seed).u64(1..);
         let (maintenance_at, armed) = (now + MAINTENANCE_INTERVAL, Micros::MAX);
-        let none = vec![0.0; settings.classes.len()];
+        let (random, none) = (Random::new(seed), vec![0.0; settings.classes.len()]);
         let (arrived, delivered) = (none.clone(), none);
-        let fresh = DeliveryPolicy {
-            settings,
-            seed,
-            now,
-            maintenance_at,
-            armed,
-            arrived,
-            delivered,
-            ..DeliveryPolicy::default()
-        };
+        let fresh = DeliveryPolicy { settings, random, now, arrived, delivered, ..DeliveryPolicy::default() };
+        let fresh = DeliveryPolicy { maintenance_at, armed, ..fresh };
         DeliveryPolicy { retry_jitter: fresh.even_interval().min(fresh.settings.least_aim()), ..fresh }
     }
 
@@ -135,8 +131,7 @@
                 self.make_room()
             }
             Event::Restored { id, class, destination, order_key, expires, attempts, first_run } => {
-                let attempt = |o| Attempt { target: 0, call: 0, planned: false, done: Some(o) };
-                let attempts = attempts.into_iter().map(attempt).collect();
+                let attempts = attempts.into_iter().map(Attempt::before_restart).collect();
                 let (class, ran) = (class as usize, first_run);
                 let m =
                     Message { class, destination, order_key, expires, attempts, ran, ..Message::default() };
@@ -157,13 +152,6 @@
         out.append(&mut self.out);
     }
 
-    fn random(&mut self) -> f64 {
-        self.seed ^= self.seed << 13;
-        self.seed ^= self.seed >> 7;
-        self.seed ^= self.seed << 17;
-        (self.seed >> 11) as f64 / (1u64 << 53) as f64
-    }
-
     fn log(&mut self, text: String) {
         self.logged += 1;
         self.out.extend((self.logged <= 100).then_some(Action::Log { text }));
@@ -220,14 +208,14 @@
         out.append(&mut self.out);
     }
 
-    /// Timer work over the routes: ageing, τ, rates, silence.
+    /// Timer work over the routes of active destinations: ageing, τ, rates, silence, and what is forgotten.
     fn maintain(&mut self) {
         self.maintenance_at = self.now + MAINTENANCE_INTERVAL;
         self.order_queues.retain(|_, (line, rest)| !line.is_empty() || *rest > self.now);
         let keep = 0.5f64.powf(MAINTENANCE_INTERVAL as f64 / self.settings.longest_deadline());
         self.averaging_window = self.averaging_window * keep + MAINTENANCE_INTERVAL as f64 / SECOND;
         self.arrived.iter_mut().chain(&mut self.delivered).for_each(|n| *n *= keep);
-        for route in 0..self.routes.len() {
+        for route in self.routes.numbers() {
             let l = &mut self.routes[route];
             l.times.age(keep);
             l.recent_requests *= keep;
@@ -251,5 +239,6 @@
             }
         }
         self.release();
+        self.drop_inactive();
     }
 }
--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -1,5 +1,6 @@
 //! Conclusions from how calls end: failure shares, windows, circuit breakers.
 
+use super::rates::exceeds_need;
 use super::*;
 
 impl DeliveryPolicy {
@@ -26,13 +27,8 @@
                 l.wait_until = l.wait_until.max(self.now + end.wait);
             }
             // The messages of a call share its fate: it is judged, and its slot free, with the last of them.
-            let done = l.calls.get_mut(&call).is_some_and(|c| {
-                c.messages.retain(|m| m.0 != id);
-                end.sent = c.sent;
-                c.messages.is_empty()
-            });
-            if done {
-                let half_open = l.calls.remove(&call).is_some_and(|c| c.half_open);
+            if let Some(Call { sent, half_open, .. }) = l.end_message(call, id) {
+                end.sent = sent;
                 self.calls_out -= 1;
                 match outcome {
                     Outcome::NotSent => l.not_sent(half_open, self.now + self.settings.tick),
@@ -64,18 +60,15 @@
     /// Draws the conclusions of one call's end for its route.
     pub(super) fn judge(&mut self, route: usize, target: TargetId, end: &End) {
         let End { outcome, sent, report, planned, .. } = *end;
-        let jitter = 1.0 + self.random();
+        let jitter = 1.0 + self.random.next();
         let (least_aim, deadline) = (self.settings.least_aim(), self.settings.longest_deadline());
         let least_rate = f64::from(self.settings.max_attempts) * SECOND / deadline;
         let (own_rate, probe_interval) =
             (self.own_rate(route), self.probe_interval(route, self.now.max(self.routes[route].wait_until)));
         if self.routes[route].refusals_in_a_row > 0 && matches!(outcome, Outcome::Ok | Outcome::Full) {
-            self.retry_jitter *= if outcome == Outcome::Ok { SPREAD_DOWN } else { SPREAD_UP };
-            self.retry_jitter = self
-                .retry_jitter
-                .min(self.even_interval())
-                .min(self.settings.longest_deadline())
-                .max(MAINTENANCE_INTERVAL as f64);
+            let factor = if outcome == Outcome::Ok { SPREAD_DOWN } else { SPREAD_UP };
+            let most = self.even_interval().min(deadline);
+            self.retry_jitter = (factor * self.retry_jitter).min(most).max(MAINTENANCE_INTERVAL as f64);
         }
         let (spread, even, half_aim) = (self.retry_jitter, self.even_interval(), least_aim / 2.0);
         let senders = f64::from(self.settings.senders.max(1));
@@ -102,7 +95,7 @@
                     l.rate_limit = (l.rate_limit
                         + if l.rate_limit > 0.0 { RATE_RECOVERY * lack } else { 0.0 })
                     .min(l.limit);
-                } else if l.rate_limit > 4.0 * own_rate.max(1.0) {
+                } else if exceeds_need(l.rate_limit, own_rate) {
                     l.rate_limit = 0.0;
                 }
                 l.failing *= 1.0 - FAIL_WEIGHT;
@@ -221,7 +214,7 @@
     /// The next comes after a pause that grows, and for long each is closed after use: kept ones fill the
     /// table again, idle. Guards the many that share it; costs a handshake a call.
     pub(super) fn crowded(&mut self, route: usize, target: TargetId, half_open: bool, sent: Micros) {
-        let (jitter, longest) = (0.5 + self.random(), self.settings.least_aim() / 2.0);
+        let (jitter, longest) = (0.5 + self.random.next(), self.settings.least_aim() / 2.0);
         let l = &mut self.routes[route];
         let Some(t) = self.targets.get_mut(&target) else { return };
         let first = l.times.mean().max((self.now - sent) as f64);
@@ -235,13 +228,13 @@
     pub(super) fn open_breaker(&mut self, route: usize) {
         let least_aim = self.settings.least_aim();
         let start = self.now.max(self.routes[route].wait_until);
-        let (jitter, probe_interval) = (0.5 + self.random(), self.probe_interval(route, start));
+        let (jitter, probe_interval) = (0.5 + self.random.next(), self.probe_interval(route, start));
         let l = &mut self.routes[route];
         let backoff = (2.0 * l.times.mean()).clamp(least_aim / 10.0, least_aim / 4.0);
         l.breaker =
             CircuitBreaker::Open { next: start + (backoff.max(probe_interval) * jitter) as Micros, backoff };
         (l.trouble, l.window, l.judged) = (l.trouble.or(Some(self.now)), 1.0, self.now);
-        let name = l.targets.first().copied().unwrap_or(0);
+        let name = l.name;
         self.log(format!("destination of {name} looks out: single trials"));
     }
 
--- a/src/policy/rates.rs
+++ b/src/policy/rates.rs
@@ -43,7 +43,7 @@
     /// Guards against that: a call is saved up by some moment before. Harms where all have found something
     /// for a limit of less than a call of each in that time.
     pub(super) fn call_in_time(&mut self, route: usize, expires: Micros) {
-        let share = FOUND_WITHIN * self.random() * expires.saturating_sub(self.now) as f64 / SECOND;
+        let share = FOUND_WITHIN * self.random.next() * expires.saturating_sub(self.now) as f64 / SECOND;
         let l = &mut self.routes[route];
         l.tokens = l.tokens.max(1.0 - l.rate_limit * share);
     }
@@ -76,6 +76,11 @@
     }
 }
 
+/// Whether a rate limit where none is known is so far above what comes that it limits nothing.
+pub(super) fn exceeds_need(rate_limit: f64, own_rate: f64) -> bool {
+    rate_limit > 4.0 * own_rate.max(1.0)
+}
+
 impl Route {
     /// Halves the window, once for all calls that were out together.
     pub(super) fn halve(&mut self, sent: Micros, now: Micros) -> bool {
@@ -94,15 +99,6 @@
         }
     }
 
-    /// What falls to each replica of a known limit.
-    pub(super) fn even_share(&self, senders: u32) -> f64 {
-        if self.limit > 0.0 {
-            self.limit / f64::from(senders.max(1))
-        } else {
-            f64::INFINITY
-        }
-    }
-
     /// Calls that may go at once after a rest. With a known limit as many as chance brings in an aim: in a
     /// large fleet the part of each is less than one, and most of its calls come alone.
     pub(super) fn depth(&self, aim: f64) -> f64 {
@@ -115,7 +111,7 @@
 
     /// A known limit starts the rate limit at an even part, however little: where all begin at once, as
     /// after a restart with what they held, a call of each is more than the limit of many a destination.
-    pub(super) fn limit_is(&mut self, rate: f64, senders: u32) {
+    pub(crate) fn limit_is(&mut self, rate: f64, senders: u32) {
         if self.limit <= 0.0 {
             self.rate_limit = rate / f64::from(senders.max(1));
         }
--- a/src/policy/sending.rs
+++ b/src/policy/sending.rs
@@ -17,7 +17,7 @@
     pub(super) fn send(
         &mut self, id: MessageId, route: usize, target: TargetId, half_open: bool, call: Option<u64>,
     ) -> u64 {
-        let (jitter, longest) = (1.0 + TAU_JITTER * self.random(), self.settings.least_aim() / 2.0);
+        let (jitter, longest) = (1.0 + TAU_JITTER * self.random.next(), self.settings.least_aim() / 2.0);
         self.dequeue(id);
         let probe_interval = self.probe_interval(route, self.now);
         let call = call.unwrap_or_else(|| {
@@ -88,7 +88,7 @@
     /// will goes at once; the rest a few at a time while a send is blocked. Harms very late answers.
     pub(super) fn release(&mut self) {
         let mut few = if self.blocked { self.settings.slots.div_ceil(16) } else { 0 };
-        for route in 0..if self.settings.may_cancel { self.routes.len() } else { 0 } {
+        for route in if self.settings.may_cancel { self.routes.numbers() } else { Vec::new() } {
             let patience = self.patience(&self.routes[route]);
             let silent = self.routes[route].breaker.is_open() && self.routes[route].may_have_run;
             let old = |c: &&mut Call| !c.given_up && (self.now - c.sent) as f64 > patience;
--- a/src/policy/state_transfer.rs
+++ b/src/policy/state_transfer.rs
@@ -4,7 +4,7 @@
 use crate::interface::Settings;
 
 /// Raised whenever the meaning or the layout of what goes along changes.
-pub const FORMAT: u32 = 5;
+pub const FORMAT: u32 = 6;
 
 impl DeliveryPolicy {
     /// All that this replica knows goes along: its messages and calls, told waits, cold destinations, what is
--- a/src/policy/time_outs.rs
+++ b/src/policy/time_outs.rs
@@ -25,6 +25,11 @@
         self.histogram.age(keep, self.tau);
     }
 
+    /// Whether too little is left of what was seen to tell a time-out from.
+    pub(super) fn has_faded(&self) -> bool {
+        self.histogram.total() + self.unanswered < FADED
+    }
+
     pub(super) fn mean(&self) -> f64 {
         self.histogram.mean()
     }
@@ -48,7 +53,7 @@
         for i in 0..BUCKETS {
             n += times.count(i);
             s += times.sum(i);
-            if n > 0.05 {
+            if n > FADED {
                 let p = n / total;
                 share[i] = p;
                 expected[i] = s / n + (1.0 - p) / p * ((i + 1) as f64 * width + c);
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! What the decision module remembers: plain state, no decisions.
 
 use crate::interface::*;
+use crate::listing::{ListedEndpoint, ListingOrder};
 use crate::policy::AnswerTimes;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
@@ -40,6 +41,11 @@
 /// A destination's shared way, or one route apart: what has its own limit, rate limit and outages.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Route {
+    pub destination: DestinationId,
+    /// Its first endpoint, by which the log names it.
+    pub name: TargetId,
+    /// When the first of its endpoints was listed, in the order of listing.
+    pub order: ListingOrder,
     pub targets: Vec<TargetId>,
     pub kind: usize,
     pub times: AnswerTimes,
@@ -79,6 +85,36 @@
 }
 
 impl Route {
+    /// A route as of the time when its first endpoint was listed.
+    pub fn listed(name: TargetId, first: &ListedEndpoint) -> Route {
+        Route {
+            destination: first.destination,
+            name,
+            order: first.order,
+            kind: first.kind(),
+            tokens: first.phase,
+            last_ok: first.since,
+            filled: first.since,
+            ..Route::default()
+        }
+    }
+
+    /// What falls to each replica of a known limit.
+    pub fn even_share(&self, senders: u32) -> f64 {
+        if self.limit > 0.0 {
+            self.limit / f64::from(senders.max(1))
+        } else {
+            f64::INFINITY
+        }
+    }
+
+    /// Takes a message out of a call; gives the call if that was the last.
+    pub fn end_message(&mut self, call: u64, message: MessageId) -> Option<Call> {
+        let messages = &mut self.calls.get_mut(&call)?.messages;
+        messages.retain(|(id, _)| *id != message);
+        messages.is_empty().then(|| self.calls.remove(&call))?
+    }
+
     /// When the next call may go at the earliest.
     pub fn opens_at(&self) -> Micros {
         let next = if let CircuitBreaker::Open { next, .. } = self.breaker { next } else { 0 };
@@ -121,6 +157,13 @@
     pub done: Option<Outcome>,
 }
 
+impl Attempt {
+    /// One of a process before this one, by its outcome.
+    pub fn before_restart(outcome: Outcome) -> Attempt {
+        Attempt { target: 0, call: 0, planned: false, done: Some(outcome) }
+    }
+}
+
 /// A message.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Message {
--- a/tests/common/traffic.rs
+++ b/tests/common/traffic.rs
@@ -9,6 +9,18 @@
 /// Recovered messages have numbers of their own, past those that the field gives.
 const FIRST_RECOVERED: MessageId = 1 << 32;
 
+/// How long messages may take and how long pauses are.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    pub deadline: u64,
+    pub pause_unit: u64,
+    /// Whether connections are turned away from full tables. `may_have_run` of the field does not know of that outcome.
+    pub crowded: bool,
+}
+
+/// Destinations are seldom idle for long.
+pub const DENSE: Pace = Pace { deadline: 20 * S, pause_unit: MS, crowded: true };
+
 /// The list: one to three endpoints a destination; those of every third are routes apart.
 fn endpoints(rng: &mut Rng) -> Vec<Endpoint> {
     let mut lines = Vec::new();
@@ -23,7 +35,8 @@
     lines
 }
 
-fn traffic_settings(rng: &mut Rng) -> Settings {
+fn traffic_settings(rng: &mut Rng, deadline: u64) -> Settings {
+    let class = |effect| Class { deadline, ..class(effect) };
     let zone = Class { group: Group::Zone, ..class(Effect::Keyed) };
     let ordered = Class { in_order: true, ..class(Effect::Keyed) };
     let short = Class { aim: S, deadline: 4 * S, worth: 3.0, ..class(Effect::Repeatable) };
@@ -73,7 +86,7 @@
     }
 }
 
-fn end_one(field: &mut Field, rng: &mut Rng) {
+fn end_one(field: &mut Field, rng: &mut Rng, crowded: bool) {
     let out = field.out();
     let Some((id, attempt, _)) = out.get(rng.usize(0..out.len().max(1))) else { return };
     let failures = [
@@ -84,16 +97,18 @@
         Outcome::NotSent,
         Outcome::TooManyConnections,
     ];
-    let outcome = failures.get(rng.usize(0..18)).copied().unwrap_or(Outcome::Ok);
+    let drawn = failures.get(rng.usize(0..18)).copied();
+    let possible = drawn.filter(|outcome| crowded || *outcome != Outcome::TooManyConnections);
+    let outcome = possible.unwrap_or(Outcome::Ok);
     let wait = if outcome == Outcome::Full { rng.u64(0..3) * 700 * MS } else { 0 };
     field.end(*id, *attempt, outcome, wait);
 }
 
 /// Plays the run of this seed.
-pub fn play_traffic(seed: u64) -> Field {
+pub fn play_traffic(seed: u64, pace: Pace) -> Field {
     let mut rng = Rng::with_seed(seed);
     let lines = endpoints(&mut rng);
-    let mut field = Field::new(traffic_settings(&mut rng), lines.clone());
+    let mut field = Field::new(traffic_settings(&mut rng, pace.deadline), lines.clone());
     for step in 0..STEPS {
         let destination = busy_destination(&mut rng, step);
         match rng.u32(0..30) {
@@ -101,7 +116,7 @@
             10..=11 => (0..10).for_each(|_| {
                 field.request(rng.usize(0..5), destination, 1);
             }),
-            12..=18 => end_one(&mut field, &mut rng),
+            12..=18 => end_one(&mut field, &mut rng, pace.crowded),
             19 => recover(&mut field, step as u64, destination),
             20 => change_list(&mut field, &mut rng, &lines),
             21 => {
@@ -112,7 +127,7 @@
                 let state = field.policy.hand_over().unwrap();
                 field.policy = DeliveryPolicy::take_over(&state, field.settings.clone()).unwrap();
             }
-            23..=24 => field.run(rng.u64(5..900) * MS, silent),
+            23..=24 => field.run(rng.u64(5..900) * pace.pause_unit, silent),
             _ => field.run(rng.u64(5..600) * MS, serves(rng.u64(10..200) * MS)),
         }
     }
--- a/tests/same_actions.rs
+++ b/tests/same_actions.rs
@@ -8,7 +8,7 @@
 mod common;
 
 use common::steps::{cases, play};
-use common::traffic::play_traffic;
+use common::traffic::{play_traffic, DENSE};
 use common::Field;
 use std::cell::RefCell;
 
@@ -32,7 +32,7 @@
 }
 
 fn traffic_runs() -> String {
-    let run = |seed| summary(&format!("traffic-{seed}"), &play_traffic(seed));
+    let run = |seed| summary(&format!("traffic-{seed}"), &play_traffic(seed, DENSE));
     (0..TRAFFIC_RUNS).map(run).collect()
 }
 
