--- /dev/null
+++ b/scale/src/call.rs
@@ -0,0 +1,24 @@
+//! An attempt that a simulated forwarder has out.
+
+use hatchline::{Event, MessageId, Micros, Outcome, TargetId};
+
+/// An attempt that is out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Call {
+    /// Its message.
+    pub id: MessageId,
+    /// Its number among the attempts of the message, from 0.
+    pub attempt: u32,
+    /// The endpoint called.
+    pub target: TargetId,
+    /// When it was made.
+    pub sent: Micros,
+}
+
+impl Call {
+    /// The event by which the policy learns its end; `ended` says that its message is over.
+    pub fn end_event(self, now: Micros, outcome: Outcome, ended: bool, wait: Micros) -> Event {
+        let Call { id, attempt, target, sent } = self;
+        Event::Outcome { id, attempt, target, outcome, took: now - sent, ended, wait, report: None }
+    }
+}
--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -3,14 +3,19 @@
 //! Each experiment is a subcommand of the `scale` command: a module of its own and a variant of
 //! [`cli::Command`]. The other modules are what all experiments share.
 
+pub mod call;
 pub mod cli;
 pub mod clock;
+pub mod deployment;
 pub mod error;
 pub mod interrupt;
 pub mod memory;
 pub mod policy;
+pub mod policy_under_test;
+pub mod progress;
 pub mod provenance;
 pub mod range;
 pub mod report;
 pub mod scenario;
+pub mod service_time;
 pub mod statistics;
--- a/scale/src/policy/mod.rs
+++ b/scale/src/policy/mod.rs
@@ -6,7 +6,6 @@
 mod arguments;
 mod experiment;
 mod plan;
-mod policy_under_test;
 mod results;
 mod run;
 mod run_process;
--- a/scale/src/policy/results.rs
+++ b/scale/src/policy/results.rs
@@ -4,13 +4,12 @@
 use crate::policy::plan::{Point, Series};
 use crate::policy::run::RunMeasurement;
 use crate::policy::simulation::Counts;
-use crate::provenance::Provenance;
 use crate::report::{spread_cell, table};
 use crate::statistics::{least_squares_slope, Spread};
 use serde::Serialize;
 
 /// Name of the experiment in its records.
-const EXPERIMENT: &str = "policy";
+pub(super) const EXPERIMENT: &str = "policy";
 /// Runs from which on a slope is worth telling.
 pub(super) const MIN_RUNS_FOR_SLOPES: usize = 5;
 const NANOS_PER_MICRO: f64 = 1e3;
@@ -31,23 +30,6 @@
     pub reason: String,
 }
 
-/// A record of the file.
-#[derive(Debug, Serialize)]
-pub(super) struct Record<'a> {
-    experiment: &'static str,
-    #[serde(flatten)]
-    provenance: &'a Provenance,
-    #[serde(flatten)]
-    body: RecordBody,
-}
-
-impl<'a> Record<'a> {
-    /// A record of this experiment.
-    pub fn new(provenance: &'a Provenance, body: RecordBody) -> Record<'a> {
-        Record { experiment: EXPERIMENT, provenance, body }
-    }
-}
-
 /// Content of a record.
 #[derive(Debug, Serialize)]
 #[serde(tag = "record", rename_all = "lowercase")]
--- a/scale/src/policy/run.rs
+++ b/scale/src/policy/run.rs
@@ -1,10 +1,10 @@
 //! One run of a point: a fresh policy is brought to the size of the point and measured.
 
 use crate::clock::thread_time;
+use crate::deployment::{to_u32, SECOND};
 use crate::error::ScaleError;
 use crate::memory::anonymous_bytes;
 use crate::policy::plan::{RunPlan, Traffic};
-use crate::policy::settings::{to_u32, SECOND};
 use crate::policy::simulation::{Counts, Simulation};
 use hatchline::{DestinationId, Micros};
 use hdrhistogram::Histogram;
--- a/scale/src/policy/simulation.rs
+++ b/scale/src/policy/simulation.rs
@@ -3,11 +3,13 @@
 //! Events of one moment are passed in together, as a forwarder does. Timers have a moment of their own, before
 //! the traffic of the same time: so the cost of periodic maintenance is separate from that of requests.
 
+use crate::call::Call;
 use crate::clock::ProcessorClock;
-use crate::policy::policy_under_test::PolicyUnderTest;
+use crate::policy_under_test::PolicyUnderTest;
+use crate::service_time::random_service_time;
 use hatchline::{Action, DestinationId, Endpoint, Event, ListKind, MessageId, Micros, Outcome, TargetId};
 use hatchline::{ListedRate, Settings};
-use rand::{RngExt, SeedableRng};
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
@@ -16,8 +18,6 @@
 
 /// The virtual clock's first reading.
 const START: Micros = 5_000_000;
-/// Part of the service time by which an answer comes earlier or later.
-const SERVICE_TIME_VARIATION: f64 = 0.2;
 
 /// Number of events and actions so far. The same for the same seed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -64,15 +64,6 @@
     Answer { call: Call, answer: Answer },
 }
 
-/// An attempt that is out.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Call {
-    id: MessageId,
-    attempt: u32,
-    target: TargetId,
-    sent: Micros,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Answer {
     Ok,
@@ -292,8 +283,8 @@
     }
 
     fn answer(&mut self, call: Call, answer: Answer) -> Option<Event> {
-        let Call { id, attempt, target, sent } = call;
-        let in_flight = self.in_flight.get_mut(&id).filter(|in_flight| in_flight.open == Some(attempt))?;
+        let in_flight = self.in_flight.get_mut(&call.id);
+        let in_flight = in_flight.filter(|in_flight| in_flight.open == Some(call.attempt))?;
         in_flight.open = None;
         let (outcome, wait) = match answer {
             Answer::Ok => (Outcome::Ok, 0),
@@ -308,8 +299,7 @@
         };
         let ended = answer == Answer::Ok;
         self.counts.delivered += u64::from(ended);
-        let took = self.now - sent;
-        Some(Event::Outcome { id, attempt, target, outcome, took, ended, wait, report: None })
+        Some(call.end_event(self.now, outcome, ended, wait))
     }
 
     /// Passes in the events of this moment and carries out what is decided; gives the policy's processor time.
@@ -364,8 +354,6 @@
     }
 
     fn random_service_time(&mut self) -> Micros {
-        let variation = 1.0 - SERVICE_TIME_VARIATION..=1.0 + SERVICE_TIME_VARIATION;
-        let factor = self.random.random_range(variation);
-        (self.service_time as f64 * factor) as Micros
+        random_service_time(&mut self.random, self.service_time)
     }
 }
--- a/scale/src/policy/policy_under_test.rs
+++ b/scale/src/policy_under_test.rs
@@ -4,7 +4,7 @@
 
 /// One instance of the delivery policy.
 #[derive(Debug)]
-pub(super) struct PolicyUnderTest {
+pub struct PolicyUnderTest {
     policy: DeliveryPolicy,
 }
 
@@ -15,7 +15,9 @@
     }
 
     /// Passes on all events of one moment, and takes the decisions that follow.
-    pub fn advance(&mut self, now: Micros, events: Vec<Event>, actions: &mut Vec<Action>) {
+    pub fn advance(
+        &mut self, now: Micros, events: impl IntoIterator<Item = Event>, actions: &mut Vec<Action>,
+    ) {
         for event in events {
             self.policy.handle(now, event, actions);
         }
--- a/scale/tests/policy.rs
+++ b/scale/tests/policy.rs
@@ -2,30 +2,10 @@
 
 mod common;
 
-use common::{Folder, SCENARIO};
-use serde_json::Value;
+use common::{of_kind, records, rejection, wrong_lines_are_reported, Folder, WrongLine, STATUS_INTERRUPTED};
 
-const STATUS_BAD_INPUT: i32 = 2;
-const STATUS_INTERRUPTED: i32 = 130;
-
-/// The records of a file, each line one JSON object.
-fn records(text: &str) -> Vec<Value> {
-    text.lines().map(|line| serde_json::from_str(line).expect(line)).collect()
-}
-
-fn of_kind<'a>(records: &'a [Value], kind: &str) -> Vec<&'a Value> {
-    records.iter().filter(|record| record["record"] == kind).collect()
-}
-
-/// Runs with a scenario that is to be turned down; gives the only line on standard error.
-fn rejection(folder: &Folder, arguments: &[&str]) -> String {
-    let output = folder.scale(arguments);
-    assert_eq!(output.status.code(), Some(STATUS_BAD_INPUT), "{output:?}");
-    assert!(output.stdout.is_empty(), "{output:?}");
-    let error = String::from_utf8(output.stderr).unwrap();
-    assert_eq!(error.lines().count(), 1, "{error}");
-    error
-}
+/// A scenario that takes a moment.
+const SCENARIO: &str = include_str!("common/small_policy.toml");
 
 #[test]
 fn a_small_run_prints_tables_and_writes_a_record_a_point() {
@@ -104,8 +84,7 @@
     assert_eq!((of_kind(&records, "skipped").len(), of_kind(&records, "point").len()), (1, 1));
 }
 
-/// What is wrong in the scenario, the number of its line, its key, and a part of the reason.
-const WRONG_LINES: [(&str, &str, usize, &str, &str); 8] = [
+const WRONG_LINES: [WrongLine; 8] = [
     ("seed = 7", "sede = 7", 1, "sede", "unknown field"),
     ("slots = 50", "slots = 50\nslot = 50", 6, "policy.slot", "unknown field"),
     ("slots = 50", "slots = 0", 5, "policy.slots", "0 is out of range, 1 to 1000000"),
@@ -118,12 +97,7 @@
 
 #[test]
 fn a_wrong_scenario_is_reported_on_one_line_with_file_line_and_key() {
-    for (right, wrong, line, key, reason) in WRONG_LINES {
-        let folder = Folder::with_scenario(&SCENARIO.replacen(right, wrong, 1));
-        let error = rejection(&folder, &["policy", "--scenario", "small.toml"]);
-        let place = format!("scale: small.toml:{line}: {key}: ");
-        assert!(error.starts_with(&place) && error.contains(reason), "{wrong}: {error}");
-    }
+    wrong_lines_are_reported("policy", SCENARIO, &WRONG_LINES);
 }
 
 #[test]
