scale fleet: learning, cold budget and service by the size of the fleet

Cause: nothing measured what a fleet of thousands does that shares its destinations: one replica meets a destination the more seldom the larger the fleet is.

Change: the subcommand simulates all replicas of a fleet, one policy each, and the events of a sample of destinations, on a virtual clock. It reports answers learned in steady traffic, and for an outage with refused and with silent calls the calls to the cold destinations against their budget, the calls while they are down and the deliveries. A replica's policy is made at its first event and its timers until then are run first.

--- /dev/null
+++ b/scale/src/fleet/cold_budget.rs
@@ -0,0 +1,88 @@
+//! The load that a destination may get while it is cold after an outage, and the worst that it got.
+
+use crate::deployment::SECOND;
+use hatchline::{Micros, Rules};
+use serde::Serialize;
+use std::collections::VecDeque;
+
+/// A window counts against the fleet if more than this share of its calls came from replicas that had met the outage.
+const INFORMED_NUMERATOR: usize = 2;
+const INFORMED_DENOMINATOR: usize = 3;
+
+/// A call to a destination that has returned.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CallAfterReturn {
+    /// Span since the return.
+    pub since: Micros,
+    /// The replica had called the destination during the outage.
+    pub is_informed: bool,
+}
+
+/// Calls within one window against the calls allowed in it. Both are 0 where there is no such window.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub(super) struct WindowLoad {
+    pub calls: usize,
+    pub allowed: f64,
+}
+
+impl WindowLoad {
+    /// Calls over those allowed; 0 where there was no call.
+    pub fn ratio(&self) -> f64 {
+        if self.calls == 0 {
+            0.0
+        } else {
+            self.calls as f64 / self.allowed
+        }
+    }
+
+    /// The one of two that comes nearest to what is allowed, or exceeds it most.
+    pub fn worse(self, other: WindowLoad) -> WindowLoad {
+        if other.ratio() > self.ratio() {
+            other
+        } else {
+            self
+        }
+    }
+}
+
+/// The worst windows of a destination.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(super) struct WorstWindows {
+    /// Of the windows that count against the fleet.
+    pub counted: WindowLoad,
+    /// Of all windows.
+    pub any: WindowLoad,
+}
+
+/// Calls that the fleet may make to a destination in `tip_after`, from this span after its return: what the rules allow
+/// a destination that is cold then, and twice the root of that and two more for chance.
+fn allowed_when_cold(capacity: f64, since: Micros, rules: &Rules) -> f64 {
+    let ramped = (since as f64 / rules.ramp_time as f64).min(1.0);
+    let warm = rules.cold_from + (1.0 - rules.cold_from) * ramped;
+    let budget = capacity * warm * rules.tip_multiple * rules.tip_after as f64 / SECOND as f64;
+    budget + 2.0 * budget.sqrt() + 2.0
+}
+
+/// The worst windows of `tip_after` that begin within the ramp after the return. The calls are in order of time.
+pub(super) fn worst_windows(calls: &[CallAfterReturn], capacity: f64, rules: &Rules) -> WorstWindows {
+    let mut worst = WorstWindows::default();
+    let mut window = VecDeque::new();
+    for call in calls {
+        // The earliest window that holds this call is the one that allows the least.
+        let start = call.since.saturating_sub(rules.tip_after);
+        if start > rules.ramp_time {
+            break;
+        }
+        window.push_back(*call);
+        while window.front().is_some_and(|first| first.since < start) {
+            window.pop_front();
+        }
+        let load = WindowLoad { calls: window.len(), allowed: allowed_when_cold(capacity, start, rules) };
+        worst.any = worst.any.worse(load);
+        let informed = window.iter().filter(|call| call.is_informed).count();
+        if informed * INFORMED_DENOMINATOR > window.len() * INFORMED_NUMERATOR {
+            worst.counted = worst.counted.worse(load);
+        }
+    }
+    worst
+}
--- /dev/null
+++ b/scale/src/fleet/plan.rs
@@ -0,0 +1,75 @@
+//! What the experiment simulates: one point for each fleet size and kind of outage.
+
+use crate::error::ScaleError;
+use crate::fleet::arguments::FleetArguments;
+use crate::fleet::settings::{FleetScenario, FleetSize};
+use crate::scenario::ScenarioFile;
+use clap::ValueEnum;
+use serde::Serialize;
+use std::fmt;
+
+/// The built-in scenario, and the file name in its errors.
+const BUILT_IN_SCENARIO: &str = include_str!("../../scenarios/fleet.toml");
+const BUILT_IN_NAME: &str = "scale/scenarios/fleet.toml";
+
+/// How the sampled destinations fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, ValueEnum)]
+#[serde(rename_all = "lowercase")]
+pub(super) enum Case {
+    /// They refuse connections.
+    Refused,
+    /// They answer no call: each runs into its time-out.
+    Silent,
+}
+
+impl fmt::Display for Case {
+    fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        let text = match self {
+            Case::Refused => "refused",
+            Case::Silent => "silent",
+        };
+        formatter.write_str(text)
+    }
+}
+
+/// One simulation to be run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub(super) struct Point {
+    pub replicas: u64,
+    pub case: Case,
+}
+
+/// The whole experiment.
+#[derive(Clone, Debug)]
+pub(super) struct Plan {
+    pub scenario_name: String,
+    pub scenario: FleetScenario,
+    pub points: Vec<Point>,
+    pub threads: u64,
+    pub seed: u64,
+}
+
+impl Plan {
+    /// The plan that the scenario and the arguments give.
+    pub fn load(arguments: &FleetArguments) -> Result<Plan, ScaleError> {
+        let file = ScenarioFile::load(arguments.scenario.as_deref(), BUILT_IN_NAME, BUILT_IN_SCENARIO)?;
+        let scenario: FleetScenario = file.parse()?;
+        let cases = if arguments.cases.is_empty() { Case::value_variants() } else { &arguments.cases };
+        let sizes = if arguments.sizes.is_empty() { &scenario.sizes } else { &arguments.sizes };
+        Ok(Plan {
+            scenario_name: file.path().display().to_string(),
+            points: points(cases, sizes),
+            threads: arguments.threads.get(),
+            seed: arguments.seed.unwrap_or(scenario.seed),
+            scenario,
+        })
+    }
+}
+
+/// All pairs of a case and a size, case by case.
+fn points(cases: &[Case], sizes: &[FleetSize]) -> Vec<Point> {
+    let of_case = |case: &Case| {
+        sizes.iter().map(|size| Point { replicas: size.get(), case: *case }).collect::<Vec<_>>()
+    };
+    cases.iter().flat_map(of_case).collect()
+}
--- /dev/null
+++ b/scale/src/fleet/results.rs
@@ -0,0 +1,110 @@
+//! Results of the points: their tables and records.
+
+use crate::fleet::cold_budget::WindowLoad;
+use crate::fleet::figures::Figures;
+use crate::fleet::plan::{Case, Point};
+use crate::report::{number_cell, spread_cell, table};
+use crate::statistics::Spread;
+use serde::Serialize;
+
+/// Name of the experiment in its records.
+pub(super) const EXPERIMENT: &str = "fleet";
+/// The cell of a figure that there is not.
+const NONE: &str = "-";
+const SECONDS_PER_HOUR: f64 = 3_600.0;
+
+/// A point that was simulated. It is the content of its record.
+#[derive(Clone, Copy, Debug, Serialize)]
+#[serde(tag = "record", rename = "point")]
+pub(super) struct PointResult {
+    #[serde(flatten)]
+    pub point: Point,
+    #[serde(flatten)]
+    pub figures: Figures,
+}
+
+/// The table of what replicas learned in the steady phase, one row a fleet size. It does not depend on the outage.
+pub(super) fn steady_table(results: &[PointResult]) -> String {
+    let header = [
+        "replicas",
+        "messages of the run",
+        "pairs met %",
+        "answers of a pair met",
+        "pairs with 20 answers %",
+        "hours until 20",
+        "within aim %",
+    ];
+    let mut sizes = Vec::new();
+    let first_of_size = results.iter().filter(|result| {
+        let is_new = !sizes.contains(&result.point.replicas);
+        sizes.push(result.point.replicas);
+        is_new
+    });
+    table(&header, first_of_size.map(steady_row))
+}
+
+fn steady_row(result: &PointResult) -> Vec<String> {
+    let steady = &result.figures.steady;
+    vec![
+        result.point.replicas.to_string(),
+        result.figures.messages.to_string(),
+        percent_cell(Some(steady.pairs_met_share)),
+        optional_spread_cell(steady.answers_of_pairs_met),
+        percent_cell(Some(steady.pairs_trusted_share)),
+        optional_cell(steady.seconds_until_trusted.map(|seconds| seconds / SECONDS_PER_HOUR)),
+        percent_cell(steady.within_aim_share),
+    ]
+}
+
+/// The table of the points of one case, one row a fleet size.
+pub(super) fn outage_table(results: &[PointResult], case: Case) -> String {
+    let header = [
+        "replicas",
+        "worst window",
+        "any window",
+        "over budget",
+        "calls while down",
+        "arrivals while down",
+        "in time: outage %",
+        "recovery %",
+        "run %",
+        "s until recovered",
+    ];
+    table(&header, results.iter().filter(|result| result.point.case == case).map(outage_row))
+}
+
+fn outage_row(result: &PointResult) -> Vec<String> {
+    let outage = &result.figures.outage;
+    vec![
+        result.point.replicas.to_string(),
+        window_cell(outage.worst_window),
+        window_cell(outage.worst_window_of_any),
+        outage.destinations_over_budget.to_string(),
+        optional_spread_cell(outage.calls_while_down),
+        number_cell(outage.arrivals_while_down),
+        percent_cell(outage.delivered_share_of_outage),
+        percent_cell(outage.delivered_share_of_recovery),
+        percent_cell(outage.delivered_share_of_run),
+        optional_cell(outage.seconds_until_recovered),
+    ]
+}
+
+/// Calls, calls allowed and their ratio.
+fn window_cell(load: WindowLoad) -> String {
+    if load.calls == 0 {
+        return NONE.to_owned();
+    }
+    format!("{}/{} = {}", load.calls, number_cell(load.allowed), number_cell(load.ratio()))
+}
+
+fn percent_cell(share: Option<f64>) -> String {
+    optional_cell(share.map(|share| share * 100.0))
+}
+
+fn optional_cell(number: Option<f64>) -> String {
+    number.map_or_else(|| NONE.to_owned(), number_cell)
+}
+
+fn optional_spread_cell(spread: Option<Spread>) -> String {
+    spread.map_or_else(|| NONE.to_owned(), spread_cell)
+}
--- /dev/null
+++ b/scale/src/fleet/settings.rs
@@ -0,0 +1,96 @@
+//! The scenario of `scale fleet`: its keys and their ranges.
+
+use crate::deployment::{ClassSettings, Deployment, SECOND};
+use crate::range::Bounded;
+use hatchline::{Micros, Settings};
+use serde::Deserialize;
+use std::slice;
+
+/// A number of replicas.
+pub(super) type FleetSize = Bounded<1, 100_000>;
+/// A span in seconds, an hour at most.
+type Seconds = Bounded<1, 3_600>;
+/// The time of an answer in milliseconds.
+type AnswerMilliseconds = Bounded<1, 60_000>;
+
+/// A scenario file.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct FleetScenario {
+    pub seed: u64,
+    pub sizes: Vec<FleetSize>,
+    pub policy: FleetPolicySettings,
+    pub traffic: TrafficSettings,
+    pub destination: DestinationSettings,
+    pub phases: PhaseSettings,
+}
+
+/// Settings of each replica's delivery policy.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct FleetPolicySettings {
+    pub slots: Bounded<1, 1_000_000>,
+    pub max_attempts: Bounded<1, 1_000>,
+    pub max_held: Bounded<1, 2_000_000_000>,
+    pub class: ClassSettings,
+}
+
+/// The ratio of traffic to destinations, and the part of it that is simulated.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct TrafficSettings {
+    pub events_per_second_per_replica: Bounded<1, 1_000_000>,
+    pub destinations_per_replica: Bounded<1, 1_000_000>,
+    pub sampled_destinations: Bounded<1, 10_000>,
+}
+
+/// Each of the sampled destinations.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct DestinationSettings {
+    pub capacity_per_second: Bounded<1, 1_000_000>,
+    pub is_capacity_listed: bool,
+    pub service_time_ms: AnswerMilliseconds,
+    pub refusal_time_ms: AnswerMilliseconds,
+}
+
+/// Spans of virtual time.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct PhaseSettings {
+    pub steady_s: Seconds,
+    pub outage_s: Seconds,
+    pub recovery_s: Seconds,
+}
+
+impl FleetScenario {
+    /// The settings of each policy in a fleet of this size.
+    pub fn policy_settings(&self, replicas: u64) -> Settings {
+        let deployment = Deployment {
+            replicas,
+            slots: self.policy.slots.get(),
+            max_held: self.policy.max_held.get(),
+            max_attempts: self.policy.max_attempts.get(),
+            is_rate_listed: self.destination.is_capacity_listed,
+            classes: slice::from_ref(&self.policy.class),
+        };
+        deployment.policy_settings()
+    }
+}
+
+impl TrafficSettings {
+    /// Events a second of one destination, over the whole fleet.
+    pub fn events_per_second_per_destination(&self) -> f64 {
+        self.events_per_second_per_replica.get() as f64 / self.destinations_per_replica.get() as f64
+    }
+
+    /// Events a second of all sampled destinations, over the whole fleet.
+    pub fn simulated_events_per_second(&self) -> f64 {
+        self.events_per_second_per_destination() * self.sampled_destinations.get() as f64
+    }
+}
+
+/// A span in microseconds.
+pub(super) fn micros(span: Seconds) -> Micros {
+    span.get() * SECOND
+}
--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod deployment;
 pub mod error;
+pub mod fleet;
 pub mod interrupt;
 pub mod memory;
 pub mod policy;
--- /dev/null
+++ b/scale/tests/fleet.rs
@@ -0,0 +1,145 @@
+//! `scale fleet` through its binary, at a small size.
+
+mod common;
+
+use common::{of_kind, records, wrong_lines_are_reported, Folder, WrongLine, STATUS_INTERRUPTED};
+use serde_json::Value;
+
+/// A scenario that takes a moment.
+const SCENARIO: &str = include_str!("common/small_fleet.toml");
+/// Calls that the rules allow in a window: right after the return, and from the end of the ramp on.
+const ALLOWED_WHEN_COLD: f64 = 9.62;
+const ALLOWED_WHEN_WARM: f64 = 29.42;
+
+/// Runs the small scenario; gives its records.
+fn points(folder: &Folder, arguments: &[&str]) -> Vec<Value> {
+    let run = ["fleet", "--scenario", "small.toml", "--json", "out.jsonl"];
+    let output = folder.scale(&[&run[..], arguments].concat());
+    assert!(output.status.success(), "{output:?}");
+    assert!(output.stderr.is_empty(), "{output:?}");
+    records(&folder.read("out.jsonl"))
+}
+
+/// The figures of the points, without what tells of the command.
+fn figures(mut points: Vec<Value>) -> Vec<Value> {
+    for point in &mut points {
+        point.as_object_mut().unwrap().remove("command_line");
+    }
+    points
+}
+
+/// A number of a record, which lies in a range.
+fn number_in(point: &Value, path: &str, least: f64, most: f64) -> f64 {
+    let number = point.pointer(path).and_then(Value::as_f64).expect(path);
+    assert!((least..=most).contains(&number), "{path} is {number}: {point}");
+    number
+}
+
+#[test]
+fn a_small_run_prints_tables_and_writes_a_record_a_point() {
+    let folder = Folder::with_scenario(SCENARIO);
+    let output = folder.scale(&["fleet", "--scenario", "small.toml"]);
+    assert!(output.status.success(), "{output:?}");
+    let printed = String::from_utf8(output.stdout).unwrap();
+    for title in ["steady traffic", "calls refused", "calls silent", "only the events of 3 sampled"] {
+        assert!(printed.contains(title), "{title}: {printed}");
+    }
+    let points = points(&folder, &[]);
+    let keys: Vec<_> =
+        of_kind(&points, "point").iter().map(|point| [&point["replicas"], &point["case"]]).collect();
+    let expected: [[Value; 2]; 4] = [
+        [2.into(), "refused".into()],
+        [10.into(), "refused".into()],
+        [2.into(), "silent".into()],
+        [10.into(), "silent".into()],
+    ];
+    assert_eq!(keys, expected.each_ref().map(|[replicas, case]| [replicas, case]));
+    for point in &points {
+        assert_eq!((&point["experiment"], &point["seed"]), (&"fleet".into(), &7.into()));
+        assert!(point["commit"].is_string());
+        assert_eq!(point["command_line"][1], "fleet");
+    }
+}
+
+#[test]
+fn the_same_seed_gives_the_same_figures_on_any_number_of_threads() {
+    let folder = Folder::with_scenario(SCENARIO);
+    let first = figures(points(&folder, &["--seed", "11", "--threads", "1"]));
+    assert_eq!(first.len(), 4);
+    assert_eq!(first, figures(points(&folder, &["--seed", "11", "--threads", "4"])));
+    assert_ne!(first, figures(points(&folder, &["--seed", "12"])));
+}
+
+#[test]
+fn answers_learned_are_those_of_the_traffic() {
+    let folder = Folder::with_scenario(SCENARIO);
+    let points = points(&folder, &["--cases", "refused"]);
+    // A destination gets 1.5 messages a second: 90 in the steady phase, for two or ten replicas.
+    for (point, answers) in points.iter().zip([45.0, 9.0]) {
+        number_in(point, "/steady/pairs_met_share", 0.9, 1.0);
+        number_in(point, "/steady/answers_of_pairs_met/median", 0.6 * answers, 1.5 * answers);
+        // The twenty answers take so many seconds at that rate.
+        let seconds = 20.0 * 60.0 / answers;
+        number_in(point, "/steady/seconds_until_trusted", 0.6 * seconds, 1.5 * seconds);
+    }
+    number_in(&points[0], "/steady/pairs_trusted_share", 0.9, 1.0);
+    number_in(&points[1], "/steady/pairs_trusted_share", 0.0, 0.2);
+}
+
+#[test]
+fn small_fleets_load_a_cold_destination_within_bounds() {
+    let folder = Folder::with_scenario(SCENARIO);
+    for point in points(&folder, &[]) {
+        for window in ["worst_window", "worst_window_of_any"] {
+            let allowed = |path: &str| format!("/outage/{window}/{path}");
+            let allowed_calls = number_in(&point, &allowed("allowed"), ALLOWED_WHEN_COLD, ALLOWED_WHEN_WARM);
+            // Two replicas keep to it. Of ten, each of which knows but its own calls, this bounds the figure alone.
+            let most = if point["replicas"] == 2 { allowed_calls } else { 2.0 * allowed_calls };
+            number_in(&point, &allowed("calls"), 1.0, most);
+        }
+        let over_budget = number_in(&point, "/outage/destinations_over_budget", 0.0, 3.0);
+        let exceeds = |load: &Value| load["calls"].as_f64().unwrap() > load["allowed"].as_f64().unwrap();
+        assert_eq!(over_budget > 0.0, exceeds(&point["outage"]["worst_window"]), "{point}");
+        // Each destination is tried while it is down, and not by each attempt of each message.
+        number_in(&point, "/outage/calls_while_down/min", 1.0, 60.0);
+        number_in(&point, "/outage/calls_while_down/max", 1.0, 60.0);
+        // What arrives less than its deadline before the return can still be delivered.
+        number_in(&point, "/outage/delivered_share_of_outage", 0.05, 1.0);
+        let recovery = number_in(&point, "/outage/delivered_share_of_recovery", 0.5, 1.0);
+        assert!(recovery >= point["outage"]["delivered_share_of_outage"].as_f64().unwrap(), "{point}");
+        number_in(&point, "/outage/delivered_share_of_run", 0.5, 1.0);
+    }
+}
+
+#[test]
+fn sizes_and_cases_of_the_command_line_replace_those_of_the_scenario() {
+    let folder = Folder::with_scenario(SCENARIO);
+    let points = points(&folder, &["--sizes", "1,3", "--cases", "silent"]);
+    let keys: Vec<_> = points.iter().map(|point| (&point["replicas"], &point["case"])).collect();
+    assert_eq!(keys, [(&1.into(), &"silent".into()), (&3.into(), &"silent".into())]);
+}
+
+const WRONG_LINES: [WrongLine; 4] = [
+    ("sizes = [2, 10]", "sizes = [2, 0]", 2, "sizes[1]", "0 is out of range, 1 to 100000"),
+    ("worth = 1.0", "worth = 1.5", 11, "policy.class.worth", "1.5 is out of range, 0 to 1"),
+    ("outage_s = 10", "outage = 10", 26, "phases.outage", "unknown field"),
+    ("seed = 7", "seed 7", 1, "(syntax)", ""),
+];
+
+#[test]
+fn a_wrong_scenario_is_reported_on_one_line_with_file_line_and_key() {
+    wrong_lines_are_reported("fleet", SCENARIO, &WRONG_LINES);
+}
+
+#[test]
+fn an_interrupt_leaves_the_points_that_are_done() {
+    let folder = Folder::with_scenario(SCENARIO);
+    // Far more points than are done before the interrupt.
+    let sizes = vec!["2"; 2_000].join(",");
+    let arguments = ["fleet", "--scenario", "small.toml", "--sizes", &sizes, "--json", "out.jsonl"];
+    let output = folder.scale_interrupted_after(&arguments, "point simulated");
+    assert_eq!(output.status.code(), Some(STATUS_INTERRUPTED), "{output:?}");
+    assert!(String::from_utf8(output.stdout).unwrap().contains("steady traffic"));
+    assert!(!of_kind(&records(&folder.read("out.jsonl")), "point").is_empty());
+    assert_eq!(folder.names(), ["out.jsonl", "small.toml"]);
+}
