--- a/scale/src/fleet/experiment.rs
+++ b/scale/src/fleet/experiment.rs
@@ -40,7 +40,7 @@
     format!(
         "scenario {}, seed {}, commit {COMMIT}\n\
          each replica gets {} events a second for {} destinations a replica: {:.3} a second for each destination\n\
-         only the events of {} sampled destinations are simulated, in the whole fleet; the others would not reach them\n\
+         only the events of {} sampled destinations are simulated, in the whole fleet: no others reach these destinations\n\
          virtual time: {} s of steady traffic, {} s of outage of all sampled destinations, {} s of recovery",
         plan.scenario_name,
         plan.seed,
