--- a/scale/src/cli.rs
+++ b/scale/src/cli.rs
@@ -2,6 +2,7 @@
 
 use crate::discovery;
 use crate::error::ScaleError;
+use crate::fleet;
 use crate::policy;
 use clap::{Parser, Subcommand};
 use std::process::ExitCode;
@@ -25,6 +26,8 @@
     Policy(policy::PolicyArguments),
     /// Load of discovery, and time until changes of the list are in force, by instances.
     Discovery(discovery::DiscoveryArguments),
+    /// Answers learned, load after an outage and service by the size of the fleet that shares the destinations.
+    Fleet(fleet::FleetArguments),
     /// One run of `policy`, in a process of its own. Reads its plan from standard input.
     #[command(hide = true, name = policy::RUN_SUBCOMMAND)]
     PolicyRun,
@@ -47,6 +50,7 @@
     match command {
         Command::Policy(arguments) => policy::run(&arguments),
         Command::Discovery(arguments) => discovery::run(&arguments),
+        Command::Fleet(arguments) => fleet::run(&arguments),
         Command::PolicyRun => policy::run_once(),
     }
 }
--- a/scale/src/policy/experiment.rs
+++ b/scale/src/policy/experiment.rs
@@ -6,13 +6,13 @@
 use crate::policy::arguments::PolicyArguments;
 use crate::policy::plan::{Plan, Point, Series};
 use crate::policy::results::{
-    point_table, slope_table, slopes, PointResult, Record, RecordBody, SkippedPoint, Slopes,
+    point_table, slope_table, slopes, PointResult, RecordBody, SkippedPoint, Slopes, EXPERIMENT,
     MIN_RUNS_FOR_SLOPES,
 };
 use crate::policy::run_process;
 use crate::progress::progress_bar;
 use crate::provenance::{Provenance, COMMIT};
-use crate::report::RecordFile;
+use crate::report::{Record, RecordFile};
 use clap::ValueEnum;
 use indicatif::ProgressBar;
 use std::io::{self, Write};
@@ -142,17 +142,17 @@
 ) -> Result<(), ScaleError> {
     let provenance = Provenance::of_this_process(plan.seed);
     for point in skipped {
-        records.write(&Record::new(&provenance, point.record()))?;
+        records.write(&Record::new(EXPERIMENT, &provenance, point.record()))?;
     }
     for SeriesResults { series, results, slopes } in series {
         for result in results {
             if let Some(body) = result.record() {
-                records.write(&Record::new(&provenance, body))?;
+                records.write(&Record::new(EXPERIMENT, &provenance, body))?;
             }
         }
         if let Some(slopes) = *slopes {
             let body = RecordBody::Slope { series: *series, points: results.len(), slopes };
-            records.write(&Record::new(&provenance, body))?;
+            records.write(&Record::new(EXPERIMENT, &provenance, body))?;
         }
     }
     records.commit()
