--- a/scale/src/cli.rs
+++ b/scale/src/cli.rs
@@ -3,6 +3,7 @@
 use crate::discovery;
 use crate::error::ScaleError;
 use crate::fleet;
+use crate::full_set;
 use crate::policy;
 use clap::{Parser, Subcommand};
 use std::process::ExitCode;
@@ -19,6 +20,13 @@
     command: Command,
 }
 
+impl Arguments {
+    /// The experiment, without what holds for all.
+    pub fn into_command(self) -> Command {
+        self.command
+    }
+}
+
 /// The experiments.
 #[derive(Debug, Subcommand)]
 pub enum Command {
@@ -28,6 +36,8 @@
     Discovery(discovery::DiscoveryArguments),
     /// Answers learned, load after an outage and service by the size of the fleet that shares the destinations.
     Fleet(fleet::FleetArguments),
+    /// The full set of all experiments, one after the other.
+    All(full_set::FullSetArguments),
     /// One run of `policy`, in a process of its own. Reads its plan from standard input.
     #[command(hide = true, name = policy::RUN_SUBCOMMAND)]
     PolicyRun,
@@ -51,6 +61,7 @@
         Command::Policy(arguments) => policy::run(&arguments),
         Command::Discovery(arguments) => discovery::run(&arguments),
         Command::Fleet(arguments) => fleet::run(&arguments),
+        Command::All(arguments) => arguments.commands().try_for_each(run),
         Command::PolicyRun => policy::run_once(),
     }
 }
--- a/scale/src/interrupt.rs
+++ b/scale/src/interrupt.rs
@@ -2,7 +2,10 @@
 
 use crate::error::ScaleError;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
+
+/// The interrupt of this process: it has one handler, however many experiments it runs.
+static INSTALLED: OnceLock<Interrupt> = OnceLock::new();
 
 /// Whether the user has interrupted the experiment.
 #[derive(Clone, Debug, Default)]
@@ -13,10 +16,13 @@
 impl Interrupt {
     /// Notes interrupts of this process from now on.
     pub fn install() -> Result<Interrupt, ScaleError> {
+        if let Some(installed) = INSTALLED.get() {
+            return Ok(installed.clone());
+        }
         let interrupt = Interrupt::default();
         let received = Arc::clone(&interrupt.received);
         ctrlc::set_handler(move || received.store(true, Ordering::Relaxed))?;
-        Ok(interrupt)
+        Ok(INSTALLED.get_or_init(|| interrupt).clone())
     }
 
     /// Whether one has come.
--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod discovery;
 pub mod error;
 pub mod fleet;
+pub mod full_set;
 pub mod interrupt;
 pub mod memory;
 pub mod policy;
--- /dev/null
+++ b/scale/tests/all.rs
@@ -0,0 +1,38 @@
+//! `scale all` through its binary, at a small size.
+
+mod common;
+
+use common::{records, Folder};
+
+const POLICY: &str = include_str!("common/small_policy.toml");
+const DISCOVERY: &str = include_str!("common/small_discovery.toml");
+const FLEET: &str = include_str!("common/small_fleet.toml");
+
+#[test]
+fn all_experiments_run_and_each_writes_its_records() {
+    let folder = Folder::with_scenario(POLICY);
+    folder.write("policy.toml", POLICY);
+    folder.write("discovery.toml", DISCOVERY);
+    folder.write("fleet.toml", FLEET);
+    let output = folder.scale(&["all", "--scenarios", ".", "--json", "."]);
+    assert!(output.status.success(), "{output:?}");
+    let printed = String::from_utf8(output.stdout).unwrap();
+    for (experiment, title) in
+        [("policy", "by listed destinations"), ("discovery", "silence"), ("fleet", "steady traffic")]
+    {
+        assert!(printed.contains(title), "{title}: {printed}");
+        let records = records(&folder.read(&format!("{experiment}.jsonl")));
+        assert!(!records.is_empty());
+        assert!(records.iter().all(|record| record["command_line"][1] == "all"), "{records:?}");
+    }
+}
+
+#[test]
+fn an_unusable_scenario_ends_the_set_and_is_named() {
+    let folder = Folder::with_scenario(POLICY);
+    folder.write("policy.toml", &POLICY.replacen("seed = 7", "sede = 7", 1));
+    let output = folder.scale(&["all", "--scenarios", "."]);
+    assert_eq!(output.status.code(), Some(2), "{output:?}");
+    let error = String::from_utf8(output.stderr).unwrap();
+    assert!(error.starts_with("scale: ./policy.toml:1: sede: "), "{error}");
+}
--- a/scale/tests/common/mod.rs
+++ b/scale/tests/common/mod.rs
@@ -1,4 +1,5 @@
 //! A folder of its own for each test, and the tool started in it.
+#![allow(dead_code)] // Each test file uses a part of it.
 
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::Value;
