--- /dev/null
+++ b/scale/src/cli.rs
@@ -0,0 +1,71 @@
+//! The command line: its arguments, its logs and its exit status.
+
+use crate::discovery;
+use crate::error::ScaleError;
+use crate::fleet;
+use crate::full_set;
+use crate::policy;
+use clap::{Parser, Subcommand};
+use std::process::ExitCode;
+use tracing_subscriber::filter::LevelFilter;
+
+/// Experiments that measure what the delivery policy and the discovery client cost as a deployment grows.
+#[derive(Debug, Parser)]
+#[command(name = "scale", version)]
+pub struct Arguments {
+    /// Log events up to this level, as JSON lines on standard error.
+    #[arg(long, global = true, value_name = "LEVEL", default_value = "warn")]
+    log_level: LevelFilter,
+    #[command(subcommand)]
+    command: Command,
+}
+
+impl Arguments {
+    /// The experiment, without what holds for all.
+    pub fn into_command(self) -> Command {
+        self.command
+    }
+}
+
+/// The experiments.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Processor time and memory of the delivery policy by destinations and held messages.
+    Policy(policy::PolicyArguments),
+    /// Load of discovery, and time until changes of the list are in force, by instances.
+    Discovery(discovery::DiscoveryArguments),
+    /// Answers learned, load after an outage and service by the size of the fleet that shares the destinations.
+    Fleet(fleet::FleetArguments),
+    /// The full set of all experiments, one after the other.
+    All(full_set::FullSetArguments),
+    /// One run of `policy`, in a process of its own. Reads its plan from standard input.
+    #[command(hide = true, name = policy::RUN_SUBCOMMAND)]
+    PolicyRun,
+}
+
+/// Parses the command line, runs the experiment and reports how it ended.
+pub fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    start_logging(arguments.log_level);
+    match run(arguments.command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("scale: {error}");
+            ExitCode::from(error.exit_status())
+        }
+    }
+}
+
+fn run(command: Command) -> Result<(), ScaleError> {
+    match command {
+        Command::Policy(arguments) => policy::run(&arguments),
+        Command::Discovery(arguments) => discovery::run(&arguments),
+        Command::Fleet(arguments) => fleet::run(&arguments),
+        Command::All(arguments) => arguments.commands().try_for_each(run),
+        Command::PolicyRun => policy::run_once(),
+    }
+}
+
+fn start_logging(level: LevelFilter) {
+    tracing_subscriber::fmt().json().with_max_level(level).with_writer(std::io::stderr).init();
+}
--- /dev/null
+++ b/scale/src/policy/settings.rs
@@ -0,0 +1,106 @@
+//! The scenario of `scale policy`: its keys and their ranges.
+
+use crate::deployment::{ClassSettings, Deployment, PositiveMilliseconds};
+use crate::range::Bounded;
+use hatchline::Settings;
+use serde::{Deserialize, Serialize};
+use toml::Spanned;
+
+/// A number of destinations listed.
+pub(super) type ListedCount = Bounded<1, 1_000_000_000>;
+/// A number of destinations that get traffic.
+pub(super) type ActiveCount = Bounded<1, 1_000_000_000>;
+/// A number of messages held.
+pub(super) type HeldCount = Bounded<0, 1_000_000_000>;
+/// A number of runs.
+pub(super) type RunCount = Bounded<1, 1_000>;
+/// A number of requests.
+type RequestCount = Bounded<1, 100_000_000>;
+/// A short span in microseconds.
+type ShortMicroseconds = Bounded<10, 10_000_000>;
+
+/// A scenario file.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct PolicyScenario {
+    pub seed: u64,
+    pub runs: RunCount,
+    pub policy: PolicySettings,
+    pub workload: Workload,
+    pub listed: ListedSeries,
+    pub active: ActiveSeries,
+    pub backlog: BacklogSeries,
+}
+
+/// Settings of the delivery policy.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct PolicySettings {
+    pub replicas: Bounded<1, 100_000>,
+    pub slots: Bounded<1, 1_000_000>,
+    pub max_attempts: Bounded<1, 1_000>,
+    pub max_held: Bounded<1, 2_000_000_000>,
+    pub listed_rate: Bounded<0, 1_000_000_000>,
+    pub classes: Vec<ClassSettings>,
+}
+
+/// Traffic, and how much of it is measured.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct Workload {
+    pub request_class: Spanned<String>,
+    pub backlog_class: Spanned<String>,
+    pub request_interval_us: ShortMicroseconds,
+    pub service_time_us: ShortMicroseconds,
+    pub warm_up_answers: Bounded<0, 10_000>,
+    pub min_requests: RequestCount,
+    pub max_requests: RequestCount,
+    pub time_budget_ms: PositiveMilliseconds,
+}
+
+/// The series by destinations listed.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct ListedSeries {
+    pub points: Vec<ListedCount>,
+    pub active: ActiveCount,
+}
+
+/// The series by destinations active.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct ActiveSeries {
+    pub points: Vec<Spanned<ActiveCount>>,
+    pub listed: ListedCount,
+}
+
+/// The series by messages held.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct BacklogSeries {
+    pub points: Vec<Spanned<HeldCount>>,
+    pub listed: Spanned<ListedCount>,
+    pub active: ActiveCount,
+    pub destinations: Bounded<1, 1_000_000_000>,
+}
+
+impl PolicySettings {
+    /// The place of a class, if there is one of this name.
+    pub fn class_index(&self, name: &str) -> Option<u32> {
+        let index = self.classes.iter().position(|class| class.name == name)?;
+        u32::try_from(index).ok()
+    }
+
+    /// The settings in the form that the delivery policy takes.
+    pub fn to_policy(&self) -> Settings {
+        let deployment = Deployment {
+            replicas: self.replicas.get(),
+            slots: self.slots.get(),
+            max_held: self.max_held.get(),
+            max_attempts: self.max_attempts.get(),
+            is_rate_listed: self.listed_rate.get() > 0,
+            classes: &self.classes,
+        };
+        deployment.policy_settings()
+    }
+}
