--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod interrupt;
 pub mod memory;
 pub mod policy;
+pub mod progress;
 pub mod provenance;
 pub mod range;
 pub mod report;
--- a/scale/src/policy/experiment.rs
+++ b/scale/src/policy/experiment.rs
@@ -6,18 +6,17 @@
 use crate::policy::arguments::PolicyArguments;
 use crate::policy::plan::{Plan, Point, Series};
 use crate::policy::results::{
-    point_table, slope_table, slopes, PointResult, Record, RecordBody, SkippedPoint, Slopes,
-    MIN_RUNS_FOR_SLOPES,
+    point_table, slope_table, slopes, PointResult, RecordBody, SkippedPoint, Slopes, EXPERIMENT,
 };
 use crate::policy::run_process;
+use crate::progress::progress_bar;
 use crate::provenance::{Provenance, COMMIT};
-use crate::report::RecordFile;
+use crate::report::{Record, RecordFile};
+use crate::statistics::MIN_RUNS_FOR_SLOPES;
 use clap::ValueEnum;
-use indicatif::{ProgressBar, ProgressStyle};
+use indicatif::ProgressBar;
 use std::io::{self, Write};
 
-const PROGRESS_TEMPLATE: &str = "{bar:30} {pos}/{len} runs, {msg}";
-
 /// Runs the experiment from its arguments to its results.
 pub(super) fn run(arguments: &PolicyArguments) -> Result<(), ScaleError> {
     let plan = Plan::load(arguments)?;
@@ -103,12 +102,6 @@
     Ok(())
 }
 
-/// A progress bar on standard error, hidden where that is no terminal.
-fn progress_bar(runs: u64) -> ProgressBar {
-    let style = ProgressStyle::with_template(PROGRESS_TEMPLATE).expect("the template is valid");
-    ProgressBar::new(runs).with_style(style)
-}
-
 /// The results of one series.
 #[derive(Debug)]
 struct SeriesResults<'a> {
@@ -149,17 +142,17 @@
 ) -> Result<(), ScaleError> {
     let provenance = Provenance::of_this_process(plan.seed);
     for point in skipped {
-        records.write(&Record::new(&provenance, point.record()))?;
+        records.write(&Record::new(EXPERIMENT, &provenance, point.record()))?;
     }
     for SeriesResults { series, results, slopes } in series {
         for result in results {
             if let Some(body) = result.record() {
-                records.write(&Record::new(&provenance, body))?;
+                records.write(&Record::new(EXPERIMENT, &provenance, body))?;
             }
         }
         if let Some(slopes) = *slopes {
             let body = RecordBody::Slope { series: *series, points: results.len(), slopes };
-            records.write(&Record::new(&provenance, body))?;
+            records.write(&Record::new(EXPERIMENT, &provenance, body))?;
         }
     }
     records.commit()
--- a/scale/src/policy/plan.rs
+++ b/scale/src/policy/plan.rs
@@ -116,10 +116,7 @@
 impl Plan {
     /// The plan that the scenario and the arguments give.
     pub fn load(arguments: &PolicyArguments) -> Result<Plan, ScaleError> {
-        let file = match &arguments.scenario {
-            Some(path) => ScenarioFile::read(path)?,
-            None => ScenarioFile::built_in(BUILT_IN_NAME, BUILT_IN_SCENARIO),
-        };
+        let file = ScenarioFile::load(arguments.scenario.as_deref(), BUILT_IN_NAME, BUILT_IN_SCENARIO)?;
         let scenario: PolicyScenario = file.parse()?;
         let runs = arguments.runs.unwrap_or(scenario.runs).get();
         let time_budget = Duration::from_millis(scenario.workload.time_budget_ms.get());
--- a/scale/src/policy/results.rs
+++ b/scale/src/policy/results.rs
@@ -4,15 +4,12 @@
 use crate::policy::plan::{Point, Series};
 use crate::policy::run::RunMeasurement;
 use crate::policy::simulation::Counts;
-use crate::provenance::Provenance;
 use crate::report::{spread_cell, table};
-use crate::statistics::{least_squares_slope, Spread};
+use crate::statistics::{slope_over_runs, Spread, MIN_RUNS_FOR_SLOPES};
 use serde::Serialize;
 
 /// Name of the experiment in its records.
-const EXPERIMENT: &str = "policy";
-/// Runs from which on a slope is worth telling.
-pub(super) const MIN_RUNS_FOR_SLOPES: usize = 5;
+pub(super) const EXPERIMENT: &str = "policy";
 const NANOS_PER_MICRO: f64 = 1e3;
 const NANOS_PER_MILLI: f64 = 1e6;
 const BYTES_PER_MEBIBYTE: f64 = 1_048_576.0;
@@ -31,23 +28,6 @@
     pub reason: String,
 }
 
-/// A record of the file.
-#[derive(Debug, Serialize)]
-pub(super) struct Record<'a> {
-    experiment: &'static str,
-    #[serde(flatten)]
-    provenance: &'a Provenance,
-    #[serde(flatten)]
-    body: RecordBody,
-}
-
-impl<'a> Record<'a> {
-    /// A record of this experiment.
-    pub fn new(provenance: &'a Provenance, body: RecordBody) -> Record<'a> {
-        Record { experiment: EXPERIMENT, provenance, body }
-    }
-}
-
 /// Content of a record.
 #[derive(Debug, Serialize)]
 #[serde(tag = "record", rename_all = "lowercase")]
@@ -204,12 +184,11 @@
 
 /// One slope for each run, through the same run of all points.
 fn slope(results: &[&PointResult], runs: usize, figure: fn(&RunMeasurement) -> f64) -> Option<Spread> {
-    let slope_of_run = |run: usize| {
-        let points = results.iter().map(|result| (result.point.size() as f64, figure(&result.runs[run])));
-        least_squares_slope(&points.collect::<Vec<_>>())
+    let points = |run: usize| {
+        let of_run = results.iter().map(|result| (result.point.size() as f64, figure(&result.runs[run])));
+        of_run.collect()
     };
-    let slopes: Option<Vec<f64>> = (0..runs).map(slope_of_run).collect();
-    Spread::of(slopes?)
+    slope_over_runs(runs, points)
 }
 
 /// The table of slopes.
--- a/scale/src/report.rs
+++ b/scale/src/report.rs
@@ -1,6 +1,7 @@
 //! Results: tables for people, and records in a file, one JSON object a line.
 
 use crate::error::ScaleError;
+use crate::provenance::Provenance;
 use crate::statistics::Spread;
 use comfy_table::{presets, CellAlignment, Table};
 use serde::Serialize;
@@ -56,6 +57,23 @@
     ScaleError::WriteRecords { path: path.to_owned(), source }
 }
 
+/// A record: its experiment, its origin and what was measured.
+#[derive(Debug, Serialize)]
+pub struct Record<'a, Body> {
+    experiment: &'static str,
+    #[serde(flatten)]
+    provenance: &'a Provenance,
+    #[serde(flatten)]
+    body: Body,
+}
+
+impl<'a, Body: Serialize> Record<'a, Body> {
+    /// A record of an experiment.
+    pub fn new(experiment: &'static str, provenance: &'a Provenance, body: Body) -> Record<'a, Body> {
+        Record { experiment, provenance, body }
+    }
+}
+
 /// A table of right-aligned columns.
 pub fn table(header: &[&str], rows: impl IntoIterator<Item = Vec<String>>) -> String {
     let mut table = Table::new();
@@ -72,13 +90,13 @@
 /// A spread in a cell: median, least and greatest.
 pub fn spread_cell(spread: Spread) -> String {
     let Spread { median, min, max } = spread;
-    format!("{} [{}, {}]", three_digits(median), three_digits(min), three_digits(max))
+    format!("{} [{}, {}]", number_cell(median), number_cell(min), number_cell(max))
 }
 
 /// A number with about three significant digits; whole from a hundred on.
-fn three_digits(number: f64) -> String {
+pub fn number_cell(number: f64) -> String {
     let decimals = match number.abs() {
-        size if size >= 100.0 => 0,
+        size if size == 0.0 || size >= 100.0 => 0,
         size if size >= 10.0 => 1,
         size if size >= 1.0 => 2,
         size if size >= 0.1 => 3,
--- a/scale/src/scenario.rs
+++ b/scale/src/scenario.rs
@@ -39,6 +39,16 @@
 }
 
 impl ScenarioFile {
+    /// The file of this path, or else the scenario that is part of the tool.
+    pub fn load(
+        path: Option<&Path>, built_in_name: &str, built_in_text: &str,
+    ) -> Result<ScenarioFile, ScenarioError> {
+        match path {
+            Some(path) => ScenarioFile::read(path),
+            None => Ok(ScenarioFile::built_in(built_in_name, built_in_text)),
+        }
+    }
+
     /// A scenario that is part of the tool.
     pub fn built_in(name: &str, text: &str) -> ScenarioFile {
         ScenarioFile { path: PathBuf::from(name), text: text.to_owned() }
--- a/scale/src/statistics.rs
+++ b/scale/src/statistics.rs
@@ -2,6 +2,9 @@
 
 use serde::Serialize;
 
+/// Runs from which on a slope is worth telling.
+pub const MIN_RUNS_FOR_SLOPES: usize = 5;
+
 /// The middle of some measurements, and the least and the greatest.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct Spread {
@@ -46,3 +49,10 @@
     let variance: f64 = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
     (variance > 0.0).then(|| covariance / variance)
 }
+
+/// The spread of the slopes of runs: one slope for each run, through the points that it has of that run; none where the
+/// points of a run do not differ.
+pub fn slope_over_runs(runs: usize, points: impl Fn(usize) -> Vec<(f64, f64)>) -> Option<Spread> {
+    let slopes: Option<Vec<f64>> = (0..runs).map(|run| least_squares_slope(&points(run))).collect();
+    Spread::of(slopes?)
+}
--- a/scale/tests/common/mod.rs
+++ b/scale/tests/common/mod.rs
@@ -1,13 +1,14 @@
 //! A folder of its own for each test, and the tool started in it.
 
 use rustix::process::{kill_process, Pid, Signal};
+use serde_json::Value;
 use std::io::{BufRead, BufReader, Read};
 use std::process::{Command, Output, Stdio};
 use tempfile::TempDir;
 
-/// A scenario that takes a moment.
-pub const SCENARIO: &str = include_str!("small.toml");
+pub const STATUS_INTERRUPTED: i32 = 130;
 
+const STATUS_BAD_INPUT: i32 = 2;
 const SCENARIO_NAME: &str = "small.toml";
 
 /// A folder that holds a scenario.
@@ -66,3 +67,22 @@
         command
     }
 }
+
+/// The records of a file, each line one JSON object.
+pub fn records(text: &str) -> Vec<Value> {
+    text.lines().map(|line| serde_json::from_str(line).expect(line)).collect()
+}
+
+pub fn of_kind<'a>(records: &'a [Value], kind: &str) -> Vec<&'a Value> {
+    records.iter().filter(|record| record["record"] == kind).collect()
+}
+
+/// Runs with a scenario that is to be turned down; gives the only line on standard error.
+pub fn rejection(folder: &Folder, arguments: &[&str]) -> String {
+    let output = folder.scale(arguments);
+    assert_eq!(output.status.code(), Some(STATUS_BAD_INPUT), "{output:?}");
+    assert!(output.stdout.is_empty(), "{output:?}");
+    let error = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(error.lines().count(), 1, "{error}");
+    error
+}
--- a/scale/tests/policy.rs
+++ b/scale/tests/policy.rs
@@ -2,30 +2,10 @@
 
 mod common;
 
-use common::{Folder, SCENARIO};
-use serde_json::Value;
+use common::{of_kind, records, rejection, Folder, STATUS_INTERRUPTED};
 
-const STATUS_BAD_INPUT: i32 = 2;
-const STATUS_INTERRUPTED: i32 = 130;
-
-/// The records of a file, each line one JSON object.
-fn records(text: &str) -> Vec<Value> {
-    text.lines().map(|line| serde_json::from_str(line).expect(line)).collect()
-}
-
-fn of_kind<'a>(records: &'a [Value], kind: &str) -> Vec<&'a Value> {
-    records.iter().filter(|record| record["record"] == kind).collect()
-}
-
-/// Runs with a scenario that is to be turned down; gives the only line on standard error.
-fn rejection(folder: &Folder, arguments: &[&str]) -> String {
-    let output = folder.scale(arguments);
-    assert_eq!(output.status.code(), Some(STATUS_BAD_INPUT), "{output:?}");
-    assert!(output.stdout.is_empty(), "{output:?}");
-    let error = String::from_utf8(output.stderr).unwrap();
-    assert_eq!(error.lines().count(), 1, "{error}");
-    error
-}
+/// A scenario that takes a moment.
+const SCENARIO: &str = include_str!("common/small_policy.toml");
 
 #[test]
 fn a_small_run_prints_tables_and_writes_a_record_a_point() {
