Add scale instance: memory, start and processor time of forwarder processes

What a forwarder's process costs was known for the policy alone. The new experiment starts real processes among stand-ins for discovery, destinations and clients, all on loopback with ports that the system chooses, and measures resident memory, the time until a process accepts clients and lists all destinations, and processor time idle and for a request: by destinations listed, by messages held in the log, and by processes side by side. A list or a log that the forwarder does not take is reported with the reason. Processes are killed by the handles of those that started them, also when a run fails or is interrupted; for that, SIGTERM and SIGHUP now end every experiment as Ctrl-C does.

--- a/scale/src/cli.rs
+++ b/scale/src/cli.rs
@@ -1,6 +1,7 @@
 //! The command line: its arguments, its logs and its exit status.
 
 use crate::error::ScaleError;
+use crate::instance;
 use crate::policy;
 use clap::{Parser, Subcommand};
 use std::process::ExitCode;
@@ -22,6 +23,8 @@
 pub enum Command {
     /// Processor time and memory of the delivery policy by destinations and held messages.
     Policy(policy::PolicyArguments),
+    /// Memory, time until ready and processor time of forwarder processes, by destinations, held messages and processes.
+    Instance(instance::InstanceArguments),
     /// One run of `policy`, in a process of its own. Reads its plan from standard input.
     #[command(hide = true, name = policy::RUN_SUBCOMMAND)]
     PolicyRun,
@@ -43,6 +46,7 @@
 fn run(command: Command) -> Result<(), ScaleError> {
     match command {
         Command::Policy(arguments) => policy::run(&arguments),
+        Command::Instance(arguments) => instance::run(&arguments),
         Command::PolicyRun => policy::run_once(),
     }
 }
--- a/scale/src/error.rs
+++ b/scale/src/error.rs
@@ -1,5 +1,6 @@
 //! Errors of the experiments and their exit statuses.
 
+use crate::instance::InstanceError;
 use crate::scenario::ScenarioError;
 use std::io;
 use std::path::PathBuf;
@@ -53,6 +54,9 @@
         /// Messages held after the backlog was submitted.
         held: u64,
     },
+    /// A run with forwarder processes failed.
+    #[error("a run failed: {0}")]
+    Instance(#[from] InstanceError),
     /// A figure of the operating system cannot be read.
     #[error("a figure of the system cannot be read: {0}")]
     System(#[from] procfs::ProcError),
--- /dev/null
+++ b/scale/src/instance/http_server.rs
@@ -0,0 +1,77 @@
+//! An HTTP server on a loopback port that the system chooses.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use std::future::Future;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::sleep;
+
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// What a server answers.
+pub(super) trait Handler: Send + Sync + 'static {
+    /// Answers a request, whose body has come whole.
+    fn answer(&self, request: Request<Bytes>) -> impl Future<Output = Response<Full<Bytes>>> + Send;
+}
+
+/// A running server. It ends, with its connections, when this is dropped.
+#[derive(Debug)]
+pub(super) struct HttpServer {
+    pub address: SocketAddr,
+    accepting: AbortHandle,
+}
+
+impl HttpServer {
+    /// Starts a server.
+    pub async fn start(handler: Arc<impl Handler>) -> io::Result<HttpServer> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let address = listener.local_addr()?;
+        let accepting = tokio::spawn(accept(listener, handler)).abort_handle();
+        Ok(HttpServer { address, accepting })
+    }
+}
+
+impl Drop for HttpServer {
+    fn drop(&mut self) {
+        self.accepting.abort();
+    }
+}
+
+async fn accept(listener: TcpListener, handler: Arc<impl Handler>) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => drop(connections.spawn(serve(stream, handler.clone()))),
+                Err(_) => sleep(ACCEPT_PAUSE).await,
+            },
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, handler: Arc<impl Handler>) {
+    // Without this an answer may wait for an acknowledgement; the connection serves all the same.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(|request: Request<Incoming>| {
+        let handler = &handler;
+        async move {
+            let (head, body) = request.into_parts();
+            let body = body.collect().await?.to_bytes();
+            Ok::<_, hyper::Error>(handler.answer(Request::from_parts(head, body)).await)
+        }
+    });
+    // An error ends the connection, which the forwarder notices.
+    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+}
--- a/scale/src/interrupt.rs
+++ b/scale/src/interrupt.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 
-/// Whether the user has interrupted the experiment.
+/// Whether the user has interrupted the experiment, by Ctrl-C, SIGTERM or SIGHUP.
 #[derive(Clone, Debug, Default)]
 pub struct Interrupt {
     received: Arc<AtomicBool>,
--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -6,9 +6,11 @@
 pub mod cli;
 pub mod clock;
 pub mod error;
+pub mod instance;
 pub mod interrupt;
 pub mod memory;
 pub mod policy;
+pub mod process;
 pub mod progress;
 pub mod provenance;
 pub mod range;
