Count requests for the list by forwarder in scale instance

Many processes start together and each asks for the list once. The limit from which a list counts as not taken was common to all of them, so that a point of 200 processes was reported as not taken.

--- a/scale/src/instance/run.rs
+++ b/scale/src/instance/run.rs
@@ -24,7 +24,7 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-/// A list that has been asked for so often is not taken.
+/// A list that has been asked for so often for each forwarder is not taken.
 const MAX_LIST_REQUESTS: u64 = 20;
 /// Span between two looks at whether something has happened.
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
@@ -180,7 +180,11 @@
         let mut starting = JoinSet::new();
         for folder in folders {
             let forwarder = folder.start(&self.plan.binary)?;
-            let list = (self.discovery.handler.clone(), self.point.listed);
+            let list = ExpectedList {
+                discovery: self.discovery.handler.clone(),
+                length: self.point.listed,
+                max_requests: MAX_LIST_REQUESTS * self.point.processes,
+            };
             starting.spawn(wait_until_listed(forwarder, list, self.patience()));
         }
         let mut started = Started { forwarders: Vec::new(), ready: Duration::ZERO, listed: Duration::ZERO };
@@ -306,15 +310,25 @@
     }
 }
 
-/// Waits until a forwarder accepts clients and lists so many destinations.
+/// The list that a forwarder has to take in.
+struct ExpectedList {
+    discovery: Arc<DiscoveryServer>,
+    /// Destinations in it.
+    length: u64,
+    /// Requests for the whole list, by all forwarders, after which it is not taken.
+    max_requests: u64,
+}
+
+/// Waits until a forwarder accepts clients and has the list.
 async fn wait_until_listed(
-    mut forwarder: Forwarder, (discovery, wanted): (Arc<DiscoveryServer>, u64), patience: Duration,
+    mut forwarder: Forwarder, list: ExpectedList, patience: Duration,
 ) -> Result<Step<StartedOne>, InstanceError> {
     let ready = forwarder.wait_until_ready(patience).await?;
     let admin = forwarder.addresses.admin;
     // The door for operators may open later than that for clients, or be slow while the list is taken in.
-    let is_listed = || async { client::figures(admin).await.is_ok_and(|figures| figures.listed == wanted) };
-    let gave_up = || discovery.whole_list_requests() >= MAX_LIST_REQUESTS;
+    let is_listed =
+        || async { client::figures(admin).await.is_ok_and(|figures| figures.listed == list.length) };
+    let gave_up = || list.discovery.whole_list_requests() >= list.max_requests;
     let ended = || async { is_listed().await || gave_up() };
     forwarder.wait_until(patience, ended).await?;
     let listed = forwarder.age();
@@ -323,8 +337,8 @@
     }
     Ok(Step::NotTaken(format!(
         "the list has {} bytes; after {} requests for it the forwarder has not taken it in",
-        discovery.list_bytes(),
-        discovery.whole_list_requests()
+        list.discovery.list_bytes(),
+        list.discovery.whole_list_requests()
     )))
 }
 
--- a/scale/tests/instance.rs
+++ b/scale/tests/instance.rs
@@ -108,6 +108,16 @@
     assert!(reason.starts_with("the list has ") && line.ends_with(reason), "{line}");
 }
 
+/// Each asks for the list once: together more often than one forwarder does before its list counts as not taken.
+#[test]
+fn many_processes_take_the_same_list() {
+    let folder = Folder::with_scenario(SCENARIO);
+    let output = folder.scale(&arguments(&["--series", "processes", "--processes", "30", "--runs", "1"]));
+    assert!(output.status.success(), "{output:?}");
+    let records = records(&folder.read("out.jsonl"));
+    assert_eq!((records.len(), &records[0]["record"]), (1, &"point".into()));
+}
+
 #[test]
 fn more_messages_than_the_log_has_room_for_are_reported_as_not_taken() {
     let more = ["--series", "held", "--held", TOO_MANY_HELD, "--runs", "1"];
