Link the forwarder in the interrupt test of scale instance in place of copying it

The test failed once in some twenty runs on a busy machine: the tool ended before its first measurement, and the message did not tell why. A hard link is never written.

--- a/scale/tests/common/mod.rs
+++ b/scale/tests/common/mod.rs
@@ -53,8 +53,8 @@
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let mut line = String::new();
         while !line.contains(text) {
-            line.clear();
-            assert_ne!(log.read_line(&mut line).unwrap(), 0, "the log ended without {text:?}");
+            let last = std::mem::take(&mut line);
+            assert_ne!(log.read_line(&mut line).unwrap(), 0, "the log ended without {text:?}: {last}");
         }
         kill_process(Pid::from_child(&child), Signal::INT).unwrap();
         log.read_to_string(&mut line).unwrap();
--- a/scale/tests/instance.rs
+++ b/scale/tests/instance.rs
@@ -130,10 +130,11 @@
 #[test]
 fn an_interrupt_leaves_what_is_done_and_ends_the_forwarders() {
     let folder = Folder::with_scenario(SCENARIO);
-    // A binary of its own shows which processes are of this test.
-    let own_folder = tempfile::tempdir().unwrap();
+    // A name of its own shows which processes are of this test. A copy could not always be run: while it is written,
+    // another test's child may have inherited the open file.
+    let own_folder = tempfile::tempdir_in(forwarder().parent().unwrap()).unwrap();
     let binary = own_folder.path().join("foldtrack");
-    std::fs::copy(forwarder(), &binary).unwrap();
+    std::fs::hard_link(forwarder(), &binary).unwrap();
     // Far more runs than are made before the interrupt.
     let arguments = arguments_with(&binary, &["--series", "processes", "--runs", "1000"]);
     let output = folder.scale_interrupted_after(&arguments, "run measured");
