--- a/scale/src/cli.rs
+++ b/scale/src/cli.rs
@@ -4,6 +4,7 @@
 use crate::error::ScaleError;
 use crate::fleet;
 use crate::full_set;
+use crate::instance;
 use crate::policy;
 use clap::{Parser, Subcommand};
 use std::process::ExitCode;
@@ -38,6 +39,8 @@
     Fleet(fleet::FleetArguments),
     /// The full set of all experiments, one after the other.
     All(full_set::FullSetArguments),
+    /// Memory, time until ready and processor time of forwarder processes, by destinations, held messages and processes.
+    Instance(instance::InstanceArguments),
     /// One run of `policy`, in a process of its own. Reads its plan from standard input.
     #[command(hide = true, name = policy::RUN_SUBCOMMAND)]
     PolicyRun,
@@ -61,7 +64,8 @@
         Command::Policy(arguments) => policy::run(&arguments),
         Command::Discovery(arguments) => discovery::run(&arguments),
         Command::Fleet(arguments) => fleet::run(&arguments),
-        Command::All(arguments) => arguments.commands().try_for_each(run),
+        Command::All(arguments) => arguments.commands().into_iter().try_for_each(run),
+        Command::Instance(arguments) => instance::run(&arguments),
         Command::PolicyRun => policy::run_once(),
     }
 }
--- a/scale/src/interrupt.rs
+++ b/scale/src/interrupt.rs
@@ -7,7 +7,7 @@
 /// The interrupt of this process: it has one handler, however many experiments it runs.
 static INSTALLED: OnceLock<Interrupt> = OnceLock::new();
 
-/// Whether the user has interrupted the experiment.
+/// Whether the user has interrupted the experiment, by Ctrl-C, SIGTERM or SIGHUP.
 #[derive(Clone, Debug, Default)]
 pub struct Interrupt {
     received: Arc<AtomicBool>,
--- a/scale/src/policy/experiment.rs
+++ b/scale/src/policy/experiment.rs
@@ -7,12 +7,12 @@
 use crate::policy::plan::{Plan, Point, Series};
 use crate::policy::results::{
     point_table, slope_table, slopes, PointResult, RecordBody, SkippedPoint, Slopes, EXPERIMENT,
-    MIN_RUNS_FOR_SLOPES,
 };
 use crate::policy::run_process;
 use crate::progress::progress_bar;
 use crate::provenance::{Provenance, COMMIT};
 use crate::report::{Record, RecordFile};
+use crate::statistics::MIN_RUNS_FOR_SLOPES;
 use clap::ValueEnum;
 use indicatif::ProgressBar;
 use std::io::{self, Write};
