Age routes in the order of memory, and look for idle destinations once a second

Change: routes age in the order in which they lie in memory; only those with calls out are looked at for silence and for calls to take back, in the order of the list as before; what is idle is dropped in every tenth round.

--- a/src/activation.rs
+++ b/src/activation.rs
@@ -5,6 +5,9 @@
 use crate::policy::{DeliveryPolicy, RESEND_SAVED};
 use crate::state::{Route, Target};
 
+/// Rounds of maintenance from one look at what may be dropped to the next.
+const ROUNDS_BETWEEN_DROPS: u32 = 10;
+
 impl DeliveryPolicy {
     /// Makes the state of a destination, with that of all its endpoints, if it has none.
     pub(crate) fn activate(&mut self, destination: DestinationId) {
@@ -59,8 +62,17 @@
         }
     }
 
+    /// Looks for what may be dropped, once in so many rounds of maintenance: to look costs more than to keep it so long.
+    pub(crate) fn drop_inactive_in_turn(&mut self) {
+        self.rounds_since_drop += 1;
+        if self.rounds_since_drop >= ROUNDS_BETWEEN_DROPS {
+            self.rounds_since_drop = 0;
+            self.drop_inactive();
+        }
+    }
+
     /// Drops the state of destinations that are idle, and forgets endpoints that are gone for long.
-    pub(crate) fn drop_inactive(&mut self) {
+    fn drop_inactive(&mut self) {
         for id in self.listing.gone_until(self.now.saturating_sub(self.gone_grace())) {
             if self.may_forget(id) {
                 self.deactivate_endpoint(id);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -106,7 +106,8 @@
     /// By class, fading: messages that came, and those delivered.
     pub(crate) arrived: Vec<f64>, pub(crate) delivered: Vec<f64>,
     maintenance_at: Micros, averaging_window: f64, retry_jitter: f64, wake_at: Micros, armed: Micros,
-    calls_out: u32, next_call: u64, blocked: bool, stopping: Option<Micros>, list_version: u32, logged: u32,
+    pub(crate) rounds_since_drop: u32, calls_out: u32, next_call: u64, blocked: bool, stopping: Option<Micros>,
+    list_version: u32, logged: u32,
 }
 
 impl DeliveryPolicy {
@@ -215,8 +216,8 @@
         let keep = 0.5f64.powf(MAINTENANCE_INTERVAL as f64 / self.settings.longest_deadline());
         self.averaging_window = self.averaging_window * keep + MAINTENANCE_INTERVAL as f64 / SECOND;
         self.arrived.iter_mut().chain(&mut self.delivered).for_each(|n| *n *= keep);
-        for route in self.routes.numbers() {
-            let l = &mut self.routes[route];
+        let ramp = self.settings.rules.ramp_time;
+        for l in self.routes.iter_mut() {
             l.times.age(keep);
             l.recent_requests *= keep;
             l.recent_repeatable *= keep;
@@ -225,20 +226,22 @@
                 l.times.retune(l.times.mean());
             }
             l.rate *= RATE_KEEP;
-            l.rate_limit +=
-                if l.rate_limit > 0.0 && l.limit <= 0.0 { RATE_DRIFT * (l.rate_limit + 0.5) } else { 0.0 };
-            let ramp = self.settings.rules.ramp_time;
+            let drifts = l.rate_limit > 0.0 && l.limit <= 0.0;
+            l.rate_limit += if drifts { RATE_DRIFT * (l.rate_limit + 0.5) } else { 0.0 };
             if matches!(l.breaker, CircuitBreaker::SlowStart { since } if self.now > since + ramp) {
                 l.breaker = CircuitBreaker::Closed;
             }
-            let out = l.breaker.is_open();
-            if let Some(since) = self.silent(route).filter(|_| !out) {
-                let l = &mut self.routes[route];
+        }
+        let called = self.routes.numbers_with_calls();
+        for route in &called {
+            let out = self.routes[*route].breaker.is_open();
+            if let Some(since) = self.silent(*route).filter(|_| !out) {
+                let l = &mut self.routes[*route];
                 (l.may_have_run, l.trouble) = (true, l.trouble.or(Some(since)));
-                self.open_breaker(route);
+                self.open_breaker(*route);
             }
         }
-        self.release();
-        self.drop_inactive();
+        self.release(&called);
+        self.drop_inactive_in_turn();
     }
 }
--- a/src/policy/sending.rs
+++ b/src/policy/sending.rs
@@ -86,9 +86,9 @@
     /// Takes back slots from calls past all that is usual, whatever leaves them without an end, so that one
     /// silent endpoint does not hold up the others. Where the destination is out, what may be repeated at
     /// will goes at once; the rest a few at a time while a send is blocked. Harms very late answers.
-    pub(super) fn release(&mut self) {
+    pub(super) fn release(&mut self, called: &[usize]) {
         let mut few = if self.blocked { self.settings.slots.div_ceil(16) } else { 0 };
-        for route in if self.settings.may_cancel { self.routes.numbers() } else { Vec::new() } {
+        for &route in if self.settings.may_cancel { called } else { &[] } {
             let patience = self.patience(&self.routes[route]);
             let silent = self.routes[route].breaker.is_open() && self.routes[route].may_have_run;
             let old = |c: &&mut Call| !c.given_up && (self.now - c.sent) as f64 > patience;
--- a/src/route_table.rs
+++ b/src/route_table.rs
@@ -36,9 +36,17 @@
         route
     }
 
-    /// The numbers of all routes, in the order in which their first endpoints were listed.
-    pub fn numbers(&self) -> Vec<usize> {
-        self.by_order.values().copied().collect()
+    /// All routes, in the order in which they lie in memory.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Route> {
+        self.routes.iter_mut()
+    }
+
+    /// The numbers of the routes with calls out, in the order in which their first endpoints were listed.
+    pub fn numbers_with_calls(&self) -> Vec<usize> {
+        let called = self.routes.iter().enumerate().filter(|(_, route)| !route.calls.is_empty());
+        let mut numbers: Vec<usize> = called.map(|(number, _)| number).collect();
+        numbers.sort_unstable_by_key(|number| self.routes[*number].order);
+        numbers
     }
 
     /// How many routes there are.
