--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -106,8 +106,8 @@
     /// By class, fading: messages that came, and those delivered.
     pub(crate) arrived: Vec<f64>, pub(crate) delivered: Vec<f64>,
     maintenance_at: Micros, averaging_window: f64, retry_jitter: f64, wake_at: Micros, armed: Micros,
-    pub(crate) rounds_since_drop: u32, calls_out: u32, next_call: u64, blocked: bool, stopping: Option<Micros>,
-    list_version: u32, logged: u32,
+    pub(crate) rounds_since_drop: u32, calls_out: u32, next_call: u64, blocked: bool,
+    stopping: Option<Micros>, list_version: u32, logged: u32,
 }
 
 impl DeliveryPolicy {
