Look at waiting destinations only when they open or their state changes

Each decision chose the best send for every destination with something ready, also for those whose routes all wait for a told Retry-After or an open breaker. With many of them a request cost mostly that.

Destinations now keeps an index of such waits. A decision looks at those that do not wait, and takes the end of the first wait from the index. A wait is forgotten when an outcome comes, the breaker is opened, an endpoint is added or dropped, the queue empties, the process begins to stop, or the state is taken over. Waits for tokens are not indexed: looking at these refills them. The index is left out of the state that is handed over, which keeps its format.

--- a/src/activation.rs
+++ b/src/activation.rs
@@ -26,6 +26,7 @@
     /// Makes the state of an endpoint, as it would be had it been made with the listing.
     pub(crate) fn activate_endpoint(&mut self, id: TargetId) {
         let Some(e) = self.listing.get(id) else { return };
+        self.destinations.forget_wait(e.destination);
         let d = self.destinations.entry(e.destination);
         let apart = self.settings.routes_apart.get(e.kind()).copied().unwrap_or(false);
         let shared = if apart { None } else { d.routes.first().copied() };
@@ -88,6 +89,7 @@
         let Some(Target { route, .. }) = self.targets.remove(&id) else { return };
         let l = &mut self.routes[route];
         l.targets.retain(|target| *target != id);
+        self.destinations.forget_wait(l.destination);
         let d = self.destinations.entry(l.destination);
         if l.targets.is_empty() && d.routes.len() > 1 {
             d.routes.retain(|other| *other != route);
--- a/src/destinations.rs
+++ b/src/destinations.rs
@@ -1,4 +1,4 @@
-//! Destinations with what is queued for them, and an index of those that have something ready.
+//! Destinations with what is queued for them, and indexes: which have something ready, and how long they wait.
 
 use crate::interface::*;
 use crate::state::Queue;
@@ -39,6 +39,15 @@
 pub(crate) struct Destinations {
     all: BTreeMap<DestinationId, Destination>,
     ready: BTreeSet<DestinationId>,
+    /// Those of them that may have something to send now. The others wait until a known time.
+    #[serde(skip)]
+    sendable: BTreeSet<DestinationId>,
+    /// Until when those that are ready and not sendable wait.
+    #[serde(skip)]
+    waiting: BTreeMap<DestinationId, Micros>,
+    /// The same in the order of time.
+    #[serde(skip)]
+    wakes: BTreeSet<(Micros, DestinationId)>,
 }
 
 impl Destinations {
@@ -59,7 +68,7 @@
 
     /// Takes a destination out.
     pub fn remove(&mut self, id: DestinationId) -> Destination {
-        self.ready.remove(&id);
+        self.remove_ready(id);
         self.all.remove(&id).unwrap_or_default()
     }
 
@@ -73,6 +82,7 @@
         let destination = self.all.entry(id).or_default();
         if destination.ready.is_empty() {
             self.ready.insert(id);
+            self.sendable.insert(id);
         }
         destination.ready.entry(queue).or_default().insert(message);
     }
@@ -86,7 +96,53 @@
             destination.ready.remove(&queue);
         }
         if destination.ready.is_empty() {
-            self.ready.remove(&id);
+            self.remove_ready(id);
+        }
+    }
+
+    fn remove_ready(&mut self, id: DestinationId) {
+        self.forget_wait(id);
+        self.ready.remove(&id);
+        self.sendable.remove(&id);
+    }
+
+    /// Those that have something ready and do not wait, in the order of their numbers.
+    pub fn sendable(&self) -> impl Iterator<Item = DestinationId> + '_ {
+        self.sendable.iter().copied()
+    }
+
+    /// Notes that a destination with something ready sends nothing before `until`, or its wait is forgotten.
+    pub fn wait(&mut self, id: DestinationId, until: Micros) {
+        self.forget_wait(id);
+        if self.sendable.remove(&id) {
+            self.waiting.insert(id, until);
+            self.wakes.insert((until, id));
+        }
+    }
+
+    /// Makes a destination that waits sendable again. Call it whenever the time when it opens may change.
+    pub fn forget_wait(&mut self, id: DestinationId) {
+        if let Some(until) = self.waiting.remove(&id) {
+            self.wakes.remove(&(until, id));
+            self.sendable.insert(id);
+        }
+    }
+
+    /// Makes all destinations that have something ready sendable.
+    pub fn forget_waits(&mut self) {
+        self.waiting.clear();
+        self.wakes.clear();
+        self.sendable.clone_from(&self.ready);
+    }
+
+    /// Makes destinations sendable whose waits are over. Gives the end of the first wait that is not.
+    pub fn end_waits(&mut self, now: Micros) -> Option<Micros> {
+        while let Some((until, id)) = self.wakes.first().copied() {
+            if until > now {
+                return Some(until);
+            }
+            self.forget_wait(id);
         }
+        None
     }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -138,7 +138,10 @@
                 self.restored(id, m)
             }
             Event::Late { by } => self.late = by,
-            Event::Stopping { by } => self.stopping = Some(by),
+            Event::Stopping { by } => {
+                self.stopping = Some(by);
+                self.destinations.forget_waits()
+            }
             Event::ByHand { target, out } => self.by_hand(target, out),
             Event::Started { id, .. } | Event::Lapsed { id } => self.finish(id),
             Event::Outcome { id, attempt, outcome, took, ended, wait, report, .. } => {
@@ -173,9 +176,9 @@
                 true => {}
             }
         }
-        self.wake_at = Micros::MAX;
         (self.now >= self.maintenance_at).then(|| self.maintain());
-        let ready: Vec<DestinationId> = self.destinations.ready().map(|(id, _)| id).collect();
+        self.wake_at = self.destinations.end_waits(self.now).unwrap_or(Micros::MAX);
+        let ready: Vec<DestinationId> = self.destinations.sendable().collect();
         let mut best: Vec<_> = ready.into_iter().filter_map(|d| Some((d, self.best_send(d)?))).collect();
         while self.calls_out < self.settings.slots {
             let top = (0..best.len()).max_by(|a, b| best[*a].1 .0.total_cmp(&best[*b].1 .0));
--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -22,6 +22,7 @@
         }
         if let Some(route) = self.targets.get(&target).map(|t| t.route) {
             let l = &mut self.routes[route];
+            self.destinations.forget_wait(l.destination);
             if end.wait > 0 {
                 // Waits bind the route, whatever comes later; none is shortened.
                 l.wait_until = l.wait_until.max(self.now + end.wait);
@@ -228,6 +229,7 @@
         let start = self.now.max(self.routes[route].wait_until);
         let (jitter, probe_interval) = (0.5 + self.random.next(), self.probe_interval(route, start));
         let l = &mut self.routes[route];
+        self.destinations.forget_wait(l.destination);
         let backoff = (2.0 * l.times.mean()).clamp(least_aim / 10.0, least_aim / 4.0);
         l.breaker =
             CircuitBreaker::Open { next: start + (backoff.max(probe_interval) * jitter) as Micros, backoff };
--- a/src/policy/selection.rs
+++ b/src/policy/selection.rs
@@ -71,6 +71,13 @@
         to_come >= 1.0 || d.ready.keys().any(|(class, ..)| repeatable(*class)) || l.calls.values().any(out)
     }
 
+    /// When the first route of a destination opens, if told waits or open breakers shut all. None while the
+    /// process stops: what may be sent then depends on the time left.
+    fn waits_until(&self, d: &Destination) -> Option<Micros> {
+        let opens_at = d.routes.iter().map(|route| self.routes[*route].opens_at()).min()?;
+        (opens_at > self.now && self.stopping.is_none()).then_some(opens_at)
+    }
+
     /// The best send for one destination now: worth, message, route, endpoint, half-open probe.
     pub(super) fn best_send(&mut self, dest: DestinationId) -> Option<Pick> {
         let d = self.destinations.get(dest)?;
@@ -79,6 +86,11 @@
         if calls as u32 >= cap || d.ready.is_empty() {
             return None;
         }
+        if let Some(until) = self.waits_until(d) {
+            self.wake_at = self.wake_at.min(until);
+            self.destinations.wait(dest, until);
+            return None;
+        }
         let mut open = Vec::new();
         for route in d.routes.clone() {
             match self.can_call(route, cap) {
--- a/src/policy/state_transfer.rs
+++ b/src/policy/state_transfer.rs
@@ -21,6 +21,7 @@
         policy.arrived.resize(settings.classes.len(), 0.0);
         policy.delivered.resize(settings.classes.len(), 0.0);
         policy.settings = settings;
+        policy.destinations.forget_waits();
         Ok(policy)
     }
 }
