scale: one set of arguments for scenario, records and seed

Four experiments declared the same three arguments. They are flattened in from one struct now; names and meaning stay, only the order in the help changes.

--- a/scale/src/discovery/experiment.rs
+++ b/scale/src/discovery/experiment.rs
@@ -15,7 +15,7 @@
 /// Runs the experiment from their arguments to their results.
 pub(super) fn run(arguments: &DiscoveryArguments) -> Result<(), ScaleError> {
     let plan = Plan::load(arguments)?;
-    let records = arguments.json.as_deref().map(RecordFile::create).transpose()?;
+    let records = arguments.common.json.as_deref().map(RecordFile::create).transpose()?;
     let interrupt = Interrupt::install()?;
     let mut output = io::stdout().lock();
     writeln!(output, "{}", heading(&plan))?;
--- a/scale/src/discovery/plan.rs
+++ b/scale/src/discovery/plan.rs
@@ -68,7 +68,7 @@
 impl Plan {
     /// The plan that the scenario and the arguments give.
     pub fn load(arguments: &DiscoveryArguments) -> Result<Plan, ScaleError> {
-        let file = match &arguments.scenario {
+        let file = match &arguments.common.scenario {
             Some(path) => ScenarioFile::read(path)?,
             None => ScenarioFile::built_in(BUILT_IN_NAME, BUILT_IN_SCENARIO),
         };
@@ -85,7 +85,7 @@
         Ok(Plan {
             scenario_name: file.path().display().to_string(),
             points: cases.iter().flat_map(points_of).collect(),
-            seed: arguments.seed.unwrap_or(scenario.seed),
+            seed: arguments.common.seed.unwrap_or(scenario.seed),
             scenario,
         })
     }
--- a/scale/src/fleet/plan.rs
+++ b/scale/src/fleet/plan.rs
@@ -52,7 +52,8 @@
 impl Plan {
     /// The plan that the scenario and the arguments give.
     pub fn load(arguments: &FleetArguments) -> Result<Plan, ScaleError> {
-        let file = ScenarioFile::load(arguments.scenario.as_deref(), BUILT_IN_NAME, BUILT_IN_SCENARIO)?;
+        let file =
+            ScenarioFile::load(arguments.common.scenario.as_deref(), BUILT_IN_NAME, BUILT_IN_SCENARIO)?;
         let scenario: FleetScenario = file.parse()?;
         let cases = if arguments.cases.is_empty() { Case::value_variants() } else { &arguments.cases };
         let sizes = if arguments.sizes.is_empty() { &scenario.sizes } else { &arguments.sizes };
@@ -60,7 +61,7 @@
             scenario_name: file.path().display().to_string(),
             points: points(cases, sizes),
             threads: arguments.threads.get(),
-            seed: arguments.seed.unwrap_or(scenario.seed),
+            seed: arguments.common.seed.unwrap_or(scenario.seed),
             scenario,
         })
     }
--- a/scale/src/instance/arguments.rs
+++ b/scale/src/instance/arguments.rs
@@ -1,5 +1,6 @@
 //! Arguments of `scale instance`.
 
+use crate::arguments::CommonArguments;
 use crate::instance::plan::Series;
 use crate::instance::settings::{HeldCount, ListedCount, ProcessCount, RunCount};
 use clap::Args;
@@ -11,12 +12,8 @@
     /// The forwarder's binary; `release/foldtrack` in the target directory of this tool if absent.
     #[arg(long, value_name = "PATH")]
     pub(super) binary: Option<PathBuf>,
-    /// Scenario file; the built-in full set if absent.
-    #[arg(long, value_name = "FILE")]
-    pub(super) scenario: Option<PathBuf>,
-    /// Write the results to this file too, one JSON object a line.
-    #[arg(long, value_name = "FILE")]
-    pub(super) json: Option<PathBuf>,
+    #[command(flatten)]
+    pub(super) common: CommonArguments,
     /// Run only these series.
     #[arg(long, value_delimiter = ',', value_enum)]
     pub(super) series: Vec<Series>,
@@ -29,9 +26,6 @@
     /// Points of the series by processes side by side, in place of the scenario's.
     #[arg(long, value_delimiter = ',', value_name = "COUNT")]
     pub(super) processes: Vec<ProcessCount>,
-    /// Seed of the forwarders' pseudo-random choices, in place of the scenario's.
-    #[arg(long)]
-    pub(super) seed: Option<u64>,
     /// Runs of each point, in place of the scenario's.
     #[arg(long)]
     pub(super) runs: Option<RunCount>,
--- a/scale/src/instance/experiment.rs
+++ b/scale/src/instance/experiment.rs
@@ -18,7 +18,7 @@
 /// Runs the experiment from its arguments to its results.
 pub(super) fn run(arguments: &InstanceArguments) -> Result<(), ScaleError> {
     let plan = Plan::load(arguments)?;
-    let records = arguments.json.as_deref().map(RecordFile::create).transpose()?;
+    let records = arguments.common.json.as_deref().map(RecordFile::create).transpose()?;
     let interrupt = Interrupt::install()?;
     let mut output = io::stdout().lock();
     writeln!(output, "{}", heading(&plan))?;
--- a/scale/src/instance/plan.rs
+++ b/scale/src/instance/plan.rs
@@ -77,7 +77,8 @@
 impl Plan {
     /// The plan that the scenario and the arguments give.
     pub fn load(arguments: &InstanceArguments) -> Result<Plan, ScaleError> {
-        let file = ScenarioFile::load(arguments.scenario.as_deref(), BUILT_IN_NAME, BUILT_IN_SCENARIO)?;
+        let file =
+            ScenarioFile::load(arguments.common.scenario.as_deref(), BUILT_IN_NAME, BUILT_IN_SCENARIO)?;
         let scenario: InstanceScenario = file.parse()?;
         check_held_series(&file, &scenario)?;
         let selected =
@@ -88,7 +89,7 @@
             binary: binary(arguments.binary.as_deref())?,
             points: points.into_iter().filter(selected).collect(),
             runs: arguments.runs.unwrap_or(scenario.runs).get(),
-            seed: arguments.seed.unwrap_or(scenario.seed),
+            seed: arguments.common.seed.unwrap_or(scenario.seed),
             forwarder: scenario.forwarder,
             workload: scenario.workload,
             paused: scenario.held.destinations.get(),
--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each experiment is a subcommand of the `scale` command: a module of its own and a variant of
 //! [`cli::Command`]. The other modules are what all experiments share.
 
+pub mod arguments;
 pub mod call;
 pub mod cli;
 pub mod clock;
--- a/scale/src/policy/plan.rs
+++ b/scale/src/policy/plan.rs
@@ -116,7 +116,8 @@
 impl Plan {
     /// The plan that the scenario and the arguments give.
     pub fn load(arguments: &PolicyArguments) -> Result<Plan, ScaleError> {
-        let file = ScenarioFile::load(arguments.scenario.as_deref(), BUILT_IN_NAME, BUILT_IN_SCENARIO)?;
+        let file =
+            ScenarioFile::load(arguments.common.scenario.as_deref(), BUILT_IN_NAME, BUILT_IN_SCENARIO)?;
         let scenario: PolicyScenario = file.parse()?;
         let runs = arguments.runs.unwrap_or(scenario.runs).get();
         let time_budget = Duration::from_millis(scenario.workload.time_budget_ms.get());
@@ -130,7 +131,7 @@
             scenario_name: file.path().display().to_string(),
             points,
             runs,
-            seed: arguments.seed.unwrap_or(scenario.seed),
+            seed: arguments.common.seed.unwrap_or(scenario.seed),
             time_budget,
             traffic: traffic(&file, &scenario, time_budget, runs)?,
             policy: scenario.policy,
