--- a/review/standins/src/unread.rs
+++ b/review/standins/src/unread.rs
@@ -4,6 +4,7 @@
 use crate::world::*;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -11,24 +12,34 @@
 /// So many peers of this kind connect. The forwarder's configuration allows 256 descriptors.
 const PEERS: usize = 140;
 /// Most that one of them has to send.
-const MOST_BYTES: usize = 8_000_000;
+const MOST_BYTES: usize = 40_000_000;
 /// Peers that send much are owed an error or a close within this time of connecting.
 const OWED_WITHIN: f64 = 6000.0;
 const DEADLINE_MS: u64 = 16_000;
 /// A final answer counts up to half a second after the time of a request.
 const ANSWER_SLACK: f64 = 500.0;
 
-/// Connects, sends a message and then requests until the connection takes no more. Returns the open connection.
-fn send_much(address: SocketAddr, first: &[u8], most: usize) -> Option<(TcpStream, usize)> {
-    let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(2)).ok()?;
-    stream.set_write_timeout(Some(Duration::from_millis(700))).ok()?;
-    stream.write_all(first).ok()?;
+/// Sends requests whenever the connection takes some, up to `most` bytes, until told to stop. Returns the bytes sent.
+fn send_much(mut stream: TcpStream, first: &[u8], most: usize, stop: &AtomicBool) -> usize {
+    stream.set_write_timeout(Some(Duration::from_millis(300))).ok();
+    if stream.write_all(first).is_err() {
+        return 0;
+    }
     let requests = b"GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n".repeat(100);
-    let mut sent = first.len();
-    while sent < most && stream.write_all(&requests).is_ok() {
-        sent += requests.len();
+    let (mut sent, mut at) = (first.len(), 0);
+    while !stop.load(Ordering::SeqCst) {
+        if sent >= most {
+            sleep_ms(50);
+            continue;
+        }
+        match stream.write(&requests[at..]) {
+            Ok(n) => (sent, at) = (sent + n, (at + n) % requests.len()),
+            Err(e) if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {}
+            // The forwarder has closed the connection.
+            Err(_) => break,
+        }
     }
-    Some((stream, sent))
+    sent
 }
 
 /// Hands in a message on a new connection and waits for any answer or the end of the connection.
@@ -68,34 +79,21 @@
     run.clients(std::slice::from_ref(&machine), 6, 22.0, 17);
     let start = now();
     run.until(start + 3000.0);
-    let peers: Arc<Mutex<Vec<(TcpStream, usize)>>> = Arc::default();
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut peers = Vec::new();
     if run.trouble {
         run.say(format!("{PEERS} peers connect, send much and read nothing"));
-        let mut threads = Vec::new();
         let most = if run.without == "much" { 0 } else { MOST_BYTES };
         for n in 0..PEERS {
-            let (peers, address) = (peers.clone(), machine.listen);
+            let stream = TcpStream::connect_timeout(&machine.listen, Duration::from_secs(2))
+                .map_err(|e| e.to_string())?;
             let (id, key) = (format!("{n:012x}-peer"), format!("{:032x}", 0xabc0_0000 + n));
-            let first = message_bytes(
-                &id,
-                &key,
-                "freight-msg",
-                1 + n as u32 % 6,
-                "",
-                "waddenvracht",
-                DEADLINE_MS,
-                b"x",
-            );
-            threads.push(thread::spawn(move || {
-                if let Some(peer) = send_much(address, &first, most) {
-                    peers.lock().unwrap().push(peer);
-                }
-            }));
+            let dest = 1 + n as u32 % 6;
+            let first = message_bytes(&id, &key, "freight-msg", dest, "", "waddenvracht", DEADLINE_MS, b"x");
+            let stop = stop.clone();
+            peers.push(thread::spawn(move || send_much(stream, &first, most, &stop)));
         }
-        threads.into_iter().for_each(|t| drop(t.join()));
-        let peers = peers.lock().unwrap();
-        let most = peers.iter().map(|p| p.1).max().unwrap_or(0);
-        run.say(format!("{} peers have sent up to {most} bytes each and stay connected", peers.len()));
+        run.say("all of them are connected");
     }
     let connected = now();
     run.until(connected + OWED_WITHIN);
@@ -120,6 +118,9 @@
     run.stop_clients();
     let health = patient(machine.listen, b"GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n", 3000.0);
     run.say(format!("GET /healthz within 3 s: {health}"));
+    stop.store(true, Ordering::SeqCst);
+    let bytes: Vec<usize> = peers.into_iter().map(|p| p.join().unwrap_or(0)).collect();
+    run.say(format!("a peer has sent {} bytes at most", bytes.iter().max().unwrap_or(&0)));
     let answers = answers.lock().unwrap().clone();
     let unanswered = answers.iter().filter(|a| *a == "nothing" || *a == "not connected").count();
     run.say(format!(
