--- /dev/null
+++ b/src/bin/foldtrack/accept_loop.rs
@@ -0,0 +1,115 @@
+//! Accepts the connections of clients, within the connection limit and at the rate that the event loop keeps up with.
+
+use crate::admission::{AdmissionLimiter, AdmissionWaiter};
+use crate::client_server::{
+    has_hung_up, refuse_unread, serve_client, ServerContext, CLIENT_RESPONSE_TIMEOUT, MAX_READ_DELAY,
+};
+use crate::connection_limit::ConnectionLimit;
+use crate::events::LifecycleStage;
+use rustix::net::listen;
+use std::future::poll_fn;
+use std::io;
+use std::sync::Arc;
+use std::task::Poll;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::time::{sleep, Instant};
+
+/// Delay before accepting again after an error, such as a lack of file descriptors.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
+/// Connections accepted per turn of the event loop; see [`READS_PER_TURN`](crate::client_server::READS_PER_TURN).
+pub(crate) const ACCEPTS_PER_TURN: usize = 2;
+/// Length of the listener's accept queue without overload: the length that the listener is bound with.
+const MAX_ACCEPT_BACKLOG: u32 = 1024;
+
+/// Number of queued connections that can be accepted in time for a response, given the mean turn time.
+/// Connections beyond it cost no processor time, and a longer queue would fill with clients that have given up.
+fn accept_backlog(mean_turn_time: Duration) -> u32 {
+    let turns = MAX_READ_DELAY.as_secs_f64() / mean_turn_time.as_secs_f64().max(1e-6);
+    ((turns * ACCEPTS_PER_TURN as f64) as u32).clamp(1, MAX_ACCEPT_BACKLOG)
+}
+
+/// Accepts and serves connections until a successor accepts them, or until this process closes its listener
+/// and all queued connections have been accepted.
+pub(crate) async fn serve(listener: TcpListener, context: Arc<ServerContext>, connections: ConnectionLimit) {
+    let mut stage = context.stage.clone();
+    let mut waiter = AdmissionWaiter::new(&AdmissionLimiter::new(ACCEPTS_PER_TURN));
+    let mut backlog = MAX_ACCEPT_BACKLOG;
+    let (mut queue_empty_at, mut closing, mut queue_drained) = (Instant::now(), false, false);
+    loop {
+        let wanted_backlog = accept_backlog(context.overload.mean_turn_time());
+        if backlog / 2 >= wanted_backlog
+            || wanted_backlog >= 2 * backlog
+            || (wanted_backlog == MAX_ACCEPT_BACKLOG && backlog != wanted_backlog)
+        {
+            set_backlog(&listener, wanted_backlog);
+            backlog = wanted_backlog;
+        }
+        let accept = async {
+            poll_fn(|cx| waiter.poll_admitted(cx)).await;
+            let mut was_queued = true;
+            let accepted = poll_fn(|cx| {
+                let accepted = listener.poll_accept(cx);
+                was_queued &= accepted.is_ready();
+                match accepted {
+                    Poll::Pending if closing => Poll::Ready(Err(io::ErrorKind::WouldBlock.into())),
+                    accepted => accepted,
+                }
+            });
+            let (stream, _) =
+                accepted.await.inspect_err(|e| queue_drained = e.kind() == io::ErrorKind::WouldBlock).ok()?;
+            if !was_queued {
+                queue_empty_at = Instant::now();
+            }
+            Some((
+                connections.acquire().await?,
+                stream,
+                queue_empty_at.elapsed().min(CLIENT_RESPONSE_TIMEOUT),
+            ))
+        };
+        let accepted = tokio::select! {
+            accepted = accept => accepted,
+            _ = stage.wait_for(|s| !s.accepts()), if !closing => {
+                // After a takeover the successor accepts from the same queue. Otherwise the queued connections
+                // are accepted first, as closing the listener would reset them without a response.
+                if *context.stage.borrow() == LifecycleStage::HandedOver {
+                    if backlog < MAX_ACCEPT_BACKLOG {
+                        set_backlog(&listener, MAX_ACCEPT_BACKLOG);
+                    }
+                    return;
+                }
+                closing = true;
+                continue;
+            }
+        };
+        match accepted {
+            Some((_, stream, _)) if context.overload.is_overloaded() && has_hung_up(&stream) => {
+                // Awaited here rather than in a task of its own, which would hold no permit: the number of open
+                // file descriptors would be unbounded.
+                refuse_unread(stream).await;
+            }
+            Some((permit, stream, queue_time)) => {
+                let context = context.clone();
+                tokio::spawn(async move {
+                    if stream.set_nodelay(true).is_ok() {
+                        serve_client(stream, context, permit, queue_time).await;
+                    }
+                });
+            }
+            None if queue_drained => return,
+            None => sleep(ACCEPT_RETRY_DELAY).await,
+        }
+    }
+}
+
+/// Sets the length of the listener's accept queue.
+fn set_backlog(listener: &TcpListener, count: u32) {
+    if let Err(error) = listen(listener, i32::try_from(count).unwrap_or(i32::MAX)) {
+        eprintln!("clients: cannot set the accept backlog to {count}: {error}");
+    }
+}
+
+#[cfg(test)]
+#[path = "accept_loop_tests.rs"]
+mod tests;
--- /dev/null
+++ b/src/bin/foldtrack/accept_loop_tests.rs
@@ -0,0 +1,168 @@
+//! Tests of the accept loop over real sockets.
+
+use super::*;
+use crate::client_server::tests::{
+    accept_submission, context, context_with_overload, CLOSE_DEADLINE, REQUEST,
+};
+use crate::client_server::READS_PER_TURN;
+use crate::events::{self, LifecycleStage, NodeEvent};
+use crate::overload::OverloadMonitor;
+use std::net::SocketAddr;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task::yield_now;
+use tokio::time::timeout;
+
+/// Guards against an overloaded server that spends all its time on requests of clients that have
+/// disconnected.
+#[tokio::test]
+async fn overloaded_server_refuses_half_closed_connections_unread() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut hung_up = TcpStream::connect(address).await.unwrap();
+    hung_up.write_all(REQUEST).await.unwrap();
+    hung_up.shutdown().await.unwrap();
+    let mut waits = TcpStream::connect(address).await.unwrap();
+    let other_request =
+        std::str::from_utf8(REQUEST).unwrap().replace("X-Request-Id: m", "X-Request-Id: waits");
+    waits.write_all(other_request.as_bytes()).await.unwrap();
+    let (_stage, stage_receiver) = watch::channel(LifecycleStage::Serving);
+    let (events, mut receiver) = events::channel();
+    tokio::spawn(serve(
+        listener,
+        context_with_overload(stage_receiver, events, OverloadMonitor::always_overloaded()),
+        ConnectionLimit::new(4),
+    ));
+    let mut response = String::new();
+    let read = timeout(10 * CLOSE_DEADLINE, hung_up.read_to_string(&mut response)).await;
+    read.expect("a response").expect("the end of the connection");
+    assert!(response.starts_with("HTTP/1.1 503") && response.ends_with("\r\n\r\n"), "{response}");
+    match receiver.recv().await {
+        Some(NodeEvent::Submit { message, .. }) => assert_eq!(message.id, "waits"),
+        _ => panic!("no message was submitted"),
+    }
+    assert!(receiver.try_recv().is_err(), "the other one was submitted too");
+}
+
+/// Connects clients and writes a request for each before the first is accepted.
+async fn clients(address: SocketAddr, count: usize) -> Vec<TcpStream> {
+    let mut all = Vec::new();
+    for _ in 0..count {
+        let mut client = TcpStream::connect(address).await.unwrap();
+        client.write_all(REQUEST).await.unwrap();
+        all.push(client);
+    }
+    all
+}
+
+/// Guards against the end of a message and its notice waiting behind all client connections that are ready.
+#[tokio::test]
+async fn few_requests_are_submitted_per_turn() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (_stage, stage_receiver) = watch::channel(LifecycleStage::Serving);
+    let (events, mut receiver) = events::channel();
+    tokio::spawn(serve(listener, context(stage_receiver, events), ConnectionLimit::new(100)));
+    let mut clients = clients(address, 5 * READS_PER_TURN).await;
+    for client in &mut clients {
+        match receiver.recv().await {
+            Some(NodeEvent::Submit { reply, .. }) => drop(reply),
+            _ => panic!("no message was submitted"),
+        }
+        // All connections are open and send their next request at the same moment.
+        client.readable().await.unwrap();
+    }
+    for client in &clients {
+        assert_eq!(client.try_write(REQUEST).unwrap(), REQUEST.len());
+    }
+    let (mut submitted, started_at) = (Vec::new(), Instant::now());
+    while submitted.len() < 5 * READS_PER_TURN && started_at.elapsed() < 10 * CLOSE_DEADLINE {
+        yield_now().await;
+        let before = submitted.len();
+        while let Ok(event) = receiver.try_recv() {
+            submitted.push(event);
+        }
+        assert!(submitted.len() - before <= READS_PER_TURN, "{} in one turn", submitted.len() - before);
+    }
+    assert_eq!(submitted.len(), 5 * READS_PER_TURN, "every request is submitted in the end");
+}
+
+/// Submits two requests, one of which waits until it is too late. Returns the responses, the number of
+/// submitted messages and whether a late refusal was reported.
+async fn submit_two_while_loop_is_late(hangs_up: bool) -> (String, usize, bool) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut clients = clients(listener.local_addr().unwrap(), 2).await;
+    if hangs_up {
+        clients[0].shutdown().await.unwrap();
+        clients[1].shutdown().await.unwrap();
+    }
+    let (_stage, stage_receiver) = watch::channel(LifecycleStage::Serving);
+    let (events, mut receiver) = events::channel();
+    let limited_context = ServerContext {
+        read_limiter: AdmissionLimiter::new(1),
+        ..Arc::into_inner(context(stage_receiver, events)).unwrap()
+    };
+    tokio::spawn(serve(listener, Arc::new(limited_context), ConnectionLimit::new(4)));
+    let first = receiver.recv().await;
+    assert!(matches!(first, Some(NodeEvent::Submit { .. })));
+    // The event loop is late.
+    std::thread::sleep(MAX_READ_DELAY);
+    drop(first);
+    let (mut responses, mut submitted, mut refused_late) = (String::new(), 1, false);
+    for client in &mut clients {
+        let mut response = [0; 512];
+        let length = timeout(10 * CLOSE_DEADLINE, client.read(&mut response))
+            .await
+            .expect("a response")
+            .expect("a whole response");
+        responses.push_str(std::str::from_utf8(&response[..length]).unwrap());
+    }
+    while let Ok(event) = receiver.try_recv() {
+        submitted += usize::from(matches!(event, NodeEvent::Submit { .. }));
+        refused_late |= matches!(event, NodeEvent::RefusedLate { class: 0 });
+    }
+    (responses, submitted, refused_late)
+}
+
+#[tokio::test]
+async fn late_request_is_refused_before_it_is_submitted() {
+    let (responses, submitted, refused_late) = submit_two_while_loop_is_late(false).await;
+    assert_eq!((responses.matches("HTTP/1.1 503").count(), submitted), (2, 1), "{responses}");
+    assert!(refused_late, "the late refusal is reported");
+}
+
+#[tokio::test]
+async fn late_request_of_a_disconnected_client_is_refused_unread() {
+    let (responses, submitted, refused_late) = submit_two_while_loop_is_late(true).await;
+    assert_eq!((responses.matches("HTTP/1.1 503").count(), submitted), (2, 1), "{responses}");
+    assert!(!refused_late, "the request was not read");
+}
+
+#[test]
+fn accept_backlog_shrinks_as_turns_take_longer() {
+    let backlog_for = |ms| accept_backlog(Duration::from_millis(ms));
+    assert_eq!([0, 50, 100, 3000].map(backlog_for), [MAX_ACCEPT_BACKLOG, 8, 4, 1]);
+}
+
+/// The accept queue is longer than what is accepted before the listener closes.
+#[tokio::test]
+async fn queued_connections_get_their_responses_when_the_process_ends() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let count = 3 * ACCEPTS_PER_TURN;
+    let mut waiting = clients(listener.local_addr().unwrap(), count).await;
+    let (_stage, stage_receiver) = watch::channel(LifecycleStage::Closing);
+    let (events, mut receiver) = events::channel();
+    let serving = tokio::spawn(serve(listener, context(stage_receiver, events), ConnectionLimit::new(count)));
+    for client in &mut waiting {
+        accept_submission(&mut receiver).await;
+        client.readable().await.unwrap();
+    }
+    for client in &mut waiting {
+        let mut response = String::new();
+        let read = timeout(10 * CLOSE_DEADLINE, client.read_to_string(&mut response)).await;
+        read.expect("a response").expect("a whole response, then the end");
+        assert!(response.starts_with("HTTP/1.1 202") && response.contains("connection: close"), "{response}");
+    }
+    timeout(10 * CLOSE_DEADLINE, serving).await.expect("the server stops accepting").unwrap();
+}
--- a/src/bin/foldtrack/client_server.rs
+++ b/src/bin/foldtrack/client_server.rs
@@ -1,24 +1,23 @@
-//! The HTTP server to which clients submit their messages.
+//! The HTTP server to which clients submit their messages: serves one accepted connection.
 
 use crate::admission::{AdmissionLimiter, AdmissionWaiter};
 use crate::clock::Clock;
-use crate::connection_limit::{ConnectionLimit, ConnectionPermit};
+use crate::connection_limit::ConnectionPermit;
 use crate::events::{EventSender, LifecycleStage, NodeEvent, ResponseGuard, SubmitResponse};
-use crate::message::Message;
 use crate::overload::OverloadMonitor;
 use crate::streams::{self, ObservedStream, StreamObserver};
+use crate::submission::{read_message, BODY_TIMEOUT};
 use bytes::Bytes;
 use hatchline::settings::DeploymentSettings;
-use hatchline::{Micros, RetrySafety};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderValue, CONNECTION, CONTENT_LENGTH, RETRY_AFTER};
+use hatchline::Micros;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
-use rustix::net::listen;
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::io;
@@ -27,13 +26,10 @@
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::{oneshot, watch};
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, Instant};
 
-const MAX_BODY_BYTES: usize = 64 * 1024;
-/// The endpoint list numbers destinations in 16 bits: a message for a higher number could never be sent.
-const MAX_DESTINATION: f64 = u16::MAX as f64;
 /// Upper bound on the bytes that a connection buffers.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
 /// Time within which a new connection has to send a whole request head, and after which an idle connection is
@@ -42,21 +38,19 @@
 const HEAD_TIMEOUT: Duration = Duration::from_millis(2200);
 /// Additional time for a head that has begun to arrive by then.
 const HEAD_COMPLETION_TIMEOUT: Duration = BODY_TIMEOUT;
-/// A client that does not finish its request within this time is taken to have disconnected: it waits only
-/// 400 ms for its response.
-const BODY_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a client waits for its response.
-const CLIENT_RESPONSE_TIMEOUT: Duration = Duration::from_millis(400);
+pub(crate) const CLIENT_RESPONSE_TIMEOUT: Duration = Duration::from_millis(400);
 /// A request that has waited this long to be read is refused: the rest of the client's time is needed to read
 /// it, to decide and to respond.
-const MAX_READ_DELAY: Duration = Duration::from_millis(200);
+pub(crate) const MAX_READ_DELAY: Duration = Duration::from_millis(200);
 /// Retry-After for requests refused under overload, where the settings allow one: the excess has been
 /// processed or refused by then.
 const OVERLOAD_RETRY_AFTER: Micros = 1_000_000;
 /// Delay between the `Closing` stage and the close of a connection.
 const CLOSE_DELAY: Duration = Duration::from_millis(50);
-/// Delay before accepting again after an error, such as a lack of file descriptors.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Requests read per turn of the event loop: with the connections accepted, about 1 ms of work. Even with 1% of a
+/// core, a turn then stays well below the 300 ms within which a notice is due.
+pub(crate) const READS_PER_TURN: usize = 8;
 
 /// State shared by all connections.
 pub(crate) struct ServerContext {
@@ -68,102 +62,8 @@
     pub read_limiter: AdmissionLimiter,
 }
 
-/// Connections accepted, and requests read, per turn of the event loop: about 1 ms of work. Even with 1% of a
-/// core, a turn then stays well below the 300 ms within which a notice is due.
-const ACCEPTS_PER_TURN: usize = 2;
-pub(crate) const READS_PER_TURN: usize = 8;
-/// Length of the listener's accept queue without overload: the length that the listener is bound with.
-const MAX_ACCEPT_BACKLOG: u32 = 1024;
-
-/// Number of queued connections that can be accepted in time for a response, given the mean turn time.
-/// Connections beyond it cost no processor time, and a longer queue would fill with clients that have given up.
-fn accept_backlog(mean_turn_time: Duration) -> u32 {
-    let turns = MAX_READ_DELAY.as_secs_f64() / mean_turn_time.as_secs_f64().max(1e-6);
-    ((turns * ACCEPTS_PER_TURN as f64) as u32).clamp(1, MAX_ACCEPT_BACKLOG)
-}
-
-/// Accepts and serves connections until a successor accepts them, or until this process closes its listener
-/// and all queued connections have been accepted.
-pub(crate) async fn serve(listener: TcpListener, context: Arc<ServerContext>, connections: ConnectionLimit) {
-    let mut stage = context.stage.clone();
-    let mut waiter = AdmissionWaiter::new(&AdmissionLimiter::new(ACCEPTS_PER_TURN));
-    let mut backlog = MAX_ACCEPT_BACKLOG;
-    let (mut queue_empty_at, mut closing, mut queue_drained) = (Instant::now(), false, false);
-    loop {
-        let wanted_backlog = accept_backlog(context.overload.mean_turn_time());
-        if backlog / 2 >= wanted_backlog
-            || wanted_backlog >= 2 * backlog
-            || (wanted_backlog == MAX_ACCEPT_BACKLOG && backlog != wanted_backlog)
-        {
-            set_backlog(&listener, wanted_backlog);
-            backlog = wanted_backlog;
-        }
-        let accept = async {
-            poll_fn(|cx| waiter.poll_admitted(cx)).await;
-            let mut was_queued = true;
-            let accepted = poll_fn(|cx| {
-                let accepted = listener.poll_accept(cx);
-                was_queued &= accepted.is_ready();
-                match accepted {
-                    Poll::Pending if closing => Poll::Ready(Err(io::ErrorKind::WouldBlock.into())),
-                    accepted => accepted,
-                }
-            });
-            let (stream, _) =
-                accepted.await.inspect_err(|e| queue_drained = e.kind() == io::ErrorKind::WouldBlock).ok()?;
-            if !was_queued {
-                queue_empty_at = Instant::now();
-            }
-            Some((
-                connections.acquire().await?,
-                stream,
-                queue_empty_at.elapsed().min(CLIENT_RESPONSE_TIMEOUT),
-            ))
-        };
-        let accepted = tokio::select! {
-            accepted = accept => accepted,
-            _ = stage.wait_for(|s| !s.accepts()), if !closing => {
-                // After a takeover the successor accepts from the same queue. Otherwise the queued connections
-                // are accepted first, as closing the listener would reset them without a response.
-                if *context.stage.borrow() == LifecycleStage::HandedOver {
-                    if backlog < MAX_ACCEPT_BACKLOG {
-                        set_backlog(&listener, MAX_ACCEPT_BACKLOG);
-                    }
-                    return;
-                }
-                closing = true;
-                continue;
-            }
-        };
-        match accepted {
-            Some((_, stream, _)) if context.overload.is_overloaded() && has_hung_up(&stream) => {
-                // Awaited here rather than in a task of its own, which would hold no permit: the number of open
-                // file descriptors would be unbounded.
-                refuse_unread(stream).await;
-            }
-            Some((permit, stream, queue_time)) => {
-                let context = context.clone();
-                tokio::spawn(async move {
-                    if stream.set_nodelay(true).is_ok() {
-                        serve_client(stream, context, permit, queue_time).await;
-                    }
-                });
-            }
-            None if queue_drained => return,
-            None => sleep(ACCEPT_RETRY_DELAY).await,
-        }
-    }
-}
-
-/// Sets the length of the listener's accept queue.
-fn set_backlog(listener: &TcpListener, count: u32) {
-    if let Err(error) = listen(listener, i32::try_from(count).unwrap_or(i32::MAX)) {
-        eprintln!("clients: cannot set the accept backlog to {count}: {error}");
-    }
-}
-
 /// Whether a client has closed its sending side, even if data that it sent is still unread.
-fn has_hung_up(stream: &TcpStream) -> bool {
+pub(crate) fn has_hung_up(stream: &TcpStream) -> bool {
     let mut polled = [PollFd::new(stream, PollFlags::RDHUP)];
     poll(&mut polled, Some(&Timespec::default())).is_ok_and(|ready| ready > 0)
 }
@@ -171,7 +71,7 @@
 /// Refuses a connection that was half-closed before it was accepted, under overload, without reading it.
 /// Nearly all of these clients have given up after their 400 ms. Processing their requests would take the
 /// time that the other clients need, until every request is served too late.
-async fn refuse_unread(mut stream: impl ClientStream) {
+pub(crate) async fn refuse_unread(mut stream: impl ClientStream) {
     let refusal_response =
         b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
     if stream.write_all(refusal_response).await.is_ok() {
@@ -180,7 +80,7 @@
 }
 
 /// What a client's socket offers beyond reading and writing.
-trait ClientStream: AsyncRead + AsyncWrite + Unpin {
+pub(crate) trait ClientStream: AsyncRead + AsyncWrite + Unpin {
     /// Ready when there is something to read, or the client has closed its sending side.
     fn poll_readable(&self, cx: &mut Context) -> Poll<io::Result<()>>;
     /// Whether the client has closed its sending side or disconnected, even if data that it sent is still
@@ -300,7 +200,7 @@
 }
 
 /// Serves one client connection until it is closed.
-async fn serve_client(
+pub(crate) async fn serve_client(
     stream: impl ClientStream, context: Arc<ServerContext>,
     (permit, mut evicted): (ConnectionPermit, oneshot::Receiver<()>), queue_time: Duration,
 ) {
@@ -434,80 +334,6 @@
     }
 }
 
-/// Reads a request into a message, or returns the status of the response that refuses it.
-async fn read_message(
-    request: Request<Incoming>, context: &ServerContext, queue_time: Duration,
-) -> Result<Message, StatusCode> {
-    const BAD_REQUEST: StatusCode = StatusCode::BAD_REQUEST;
-    // The client's time counts from when it sent the request: the arrival of the body and the wait to be read
-    // are part of it.
-    let sent_at = context
-        .clock
-        .now()
-        .saturating_sub((queue_time + context.overload.event_loop_lag()).as_micros() as Micros);
-    let path = request.uri().path().strip_prefix('/').unwrap_or_default();
-    let (class_name, order_key) = path.split_once('/').unwrap_or((path, ""));
-    let known = context.settings.class_names.iter().position(|n| n == class_name);
-    let class = known.ok_or(StatusCode::NOT_FOUND)?;
-    if request.method() != Method::POST {
-        return Err(StatusCode::METHOD_NOT_ALLOWED);
-    }
-    let class_settings = &context.settings.settings.classes[class];
-    // Only classes with ordered delivery take a key in the path, and none takes a query: a peer that sends
-    // one is not a valid client.
-    if !(class_settings.in_order || order_key.is_empty()) || request.uri().query().is_some() {
-        return Err(StatusCode::NOT_FOUND);
-    }
-    let order_key = order_key.rsplit('/').next().unwrap_or("").to_string();
-    let header = |name: &str| -> Result<Option<String>, StatusCode> {
-        let Some(value) = request.headers().get(name) else { return Ok(None) };
-        Ok(Some(value.to_str().map_err(|_| BAD_REQUEST)?.trim().to_string()))
-    };
-    let id = header("X-Request-Id")?.filter(|id| !id.is_empty()).ok_or(BAD_REQUEST)?;
-    let time_left = header("X-Deadline")?.and_then(|t| parse_duration(&t)).ok_or(BAD_REQUEST)?;
-    let destination = header("X-Consignee")?.and_then(|t| parse_destination(&t)).ok_or(BAD_REQUEST)?;
-    let idempotency_key = header("Idempotency-Key")?;
-    if class_settings.retry_safety == RetrySafety::Keyed && idempotency_key.is_none() {
-        return Err(BAD_REQUEST);
-    }
-    let retry_header = header("X-Retry")?;
-    // The length of the body must be unambiguous, or what a peer appends to it could pass for another
-    // request.
-    if !request.headers().contains_key(CONTENT_LENGTH) {
-        return Err(StatusCode::LENGTH_REQUIRED);
-    }
-    if request.body().size_hint().lower() > MAX_BODY_BYTES as u64 {
-        return Err(StatusCode::PAYLOAD_TOO_LARGE);
-    }
-    let body = timeout(BODY_TIMEOUT, Limited::new(request.into_body(), MAX_BODY_BYTES).collect()).await;
-    let body = match body.map_err(|_| StatusCode::REQUEST_TIMEOUT)? {
-        Ok(body) => body.to_bytes(),
-        Err(e) if e.is::<http_body_util::LengthLimitError>() => return Err(StatusCode::PAYLOAD_TOO_LARGE),
-        Err(_) => return Err(BAD_REQUEST),
-    };
-    let expires_at = sent_at.checked_add(time_left).ok_or(BAD_REQUEST)?;
-    Ok(Message { id, class, destination, order_key, idempotency_key, retry_header, expires_at, body })
-}
-
-/// Parses a duration of a number and a unit: `480m` for milliseconds, `900u` for microseconds.
-fn parse_duration(text: &str) -> Option<Micros> {
-    let (number, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
-    let micros_per_unit = match unit {
-        "m" => 1000.0,
-        "u" => 1.0,
-        _ => return None,
-    };
-    let duration = number.parse::<f64>().ok()? * micros_per_unit;
-    (0.0..1e15).contains(&duration).then_some(duration as Micros)
-}
-
-/// Parses the destination number from a list of pairs such as `dest=7`.
-fn parse_destination(text: &str) -> Option<u32> {
-    let mut pairs = text.split(',').filter_map(|pair| pair.split_once('='));
-    let number = pairs.find(|(name, _)| name.trim() == "dest")?.1.trim().parse::<f64>().ok()?;
-    (number.fract() == 0.0 && (0.0..=MAX_DESTINATION).contains(&number)).then_some(number as u32)
-}
-
 #[cfg(test)]
 #[path = "client_server_tests.rs"]
-mod tests;
+pub(crate) mod tests;
--- a/src/bin/foldtrack/main.rs
+++ b/src/bin/foldtrack/main.rs
@@ -2,6 +2,7 @@
 //! clients, endpoints and discovery.
 #![warn(missing_docs)]
 
+mod accept_loop;
 mod admin_server;
 mod admission;
 mod calls;
@@ -23,6 +24,7 @@
 mod overload;
 mod report_client;
 mod streams;
+mod submission;
 mod write_ahead_log;
 
 use config::Config;
--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -5,6 +5,7 @@
 //! One iteration of this loop is a round. A turn, by contrast, is one pass of the runtime's event loop over all
 //! tasks that are ready, of which the node is one.
 
+use crate::accept_loop;
 use crate::admin_server;
 use crate::admission::AdmissionLimiter;
 use crate::calls::{self, Call, IdleConnectionPool};
@@ -217,7 +218,7 @@
         (node.overload.clone(), AdmissionLimiter::new(client_server::READS_PER_TURN));
     let context = ServerContext { settings, clock, events: events.clone(), stage, overload, read_limiter };
     let accept_task =
-        tokio::spawn(client_server::serve(listener, Arc::new(context), node.connection_limit.clone()));
+        tokio::spawn(accept_loop::serve(listener, Arc::new(context), node.connection_limit.clone()));
     node.accepting = true;
     let successor_listener = hot_restart::listen_for_successors(&socket_path, format, events);
     if let Err(error) = &successor_listener {
