Log client connections, unread responses and for how long none is free

An operator could not tell from the log why a forwarder answers no new connection while it serves the old ones: the interval log line names neither the client connections nor what they wait for, and an idle forwarder writes none. It now has the open client connections, how many of them leave a response unread and for how long new ones have found none free, and is written as long as one of the two lasts.

--- a/src/bin/foldtrack/client_server.rs
+++ b/src/bin/foldtrack/client_server.rs
@@ -7,6 +7,7 @@
 use crate::overload::OverloadMonitor;
 use crate::streams::{self, ObservedStream, StreamObserver};
 use crate::submission::{read_message, BODY_TIMEOUT};
+use crate::unread_responses::UnreadResponses;
 use bytes::Bytes;
 use hatchline::settings::DeploymentSettings;
 use hatchline::Micros;
@@ -60,6 +61,7 @@
     pub stage: watch::Receiver<LifecycleStage>,
     pub overload: OverloadMonitor,
     pub read_limiter: AdmissionLimiter,
+    pub unread_responses: UnreadResponses,
 }
 
 /// Whether a client has closed its sending side, even if data that it sent is still unread.
@@ -228,6 +230,7 @@
         // A client may half-close its connection after its request and still wait for the response.
         .half_close(true)
         .serve_connection(TokioIo::new(ObservedStream { stream, observer }), service);
+    let mut unread_response = None;
     let (mut evictable, mut closing) = (true, false);
     let mut idle_timer = pin!(sleep(HEAD_TIMEOUT));
     // A request that has arrived is read before the connection is told to close, as it would be cut off
@@ -236,7 +239,15 @@
         tokio::select! {
             biased;
             // Errors are the client's: it has disconnected, or does not speak HTTP.
-            _ = poll_fn(|cx| http_connection.poll_without_shutdown(cx)) => break,
+            _ = poll_fn(|cx| {
+                let ended = http_connection.poll_without_shutdown(cx);
+                if !state.progress().response_ready {
+                    unread_response = None;
+                } else if unread_response.is_none() {
+                    unread_response = Some(context.unread_responses.add());
+                }
+                ended
+            }) => break,
             signal = &mut evicted, if evictable => {
                 evictable = false;
                 if signal.is_ok() && !permit.decline_eviction() {
--- a/src/bin/foldtrack/client_server_tests.rs
+++ b/src/bin/foldtrack/client_server_tests.rs
@@ -44,6 +44,7 @@
         stage,
         overload,
         read_limiter: AdmissionLimiter::new(READS_PER_TURN),
+        unread_responses: UnreadResponses::default(),
     })
 }
 
@@ -227,6 +228,24 @@
     }
 }
 
+/// Operators see from the interval log line that clients do not read.
+#[tokio::test(start_paused = true)]
+async fn unread_responses_are_counted() {
+    let (mut client, server_side) = duplex(32);
+    let (_stage, stage_receiver) = watch::channel(LifecycleStage::Serving);
+    let (events, _receiver) = events::channel();
+    let (context, permit) =
+        (context(stage_receiver, events), ConnectionLimit::new(1).acquire().await.expect("a permit"));
+    let unread_responses = context.unread_responses.clone();
+    tokio::spawn(serve_client(server_side, context, permit, Duration::ZERO));
+    client.write_all(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").await.unwrap();
+    sleep(Duration::from_millis(10)).await;
+    assert_eq!(unread_responses.count(), 1);
+    client.read_exact(&mut [0; 64]).await.expect("the response");
+    sleep(Duration::from_millis(10)).await;
+    assert_eq!(unread_responses.count(), 0);
+}
+
 /// A request that has partly arrived on a kept connection when the process is about to end gets its response.
 #[tokio::test(start_paused = true)]
 async fn partial_request_gets_its_response_while_connections_close() {
--- a/src/bin/foldtrack/connection_limit.rs
+++ b/src/bin/foldtrack/connection_limit.rs
@@ -4,7 +4,9 @@
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 use tokio::sync::{oneshot, OwnedSemaphorePermit, Semaphore};
+use tokio::time::Instant;
 
 /// Connections that have not sent a request yet, in the order of their arrival, and the signals that close
 /// them.
@@ -17,9 +19,9 @@
 /// A value shared by a listener's connections.
 type Shared<T> = Arc<Mutex<T>>;
 
-fn lock(candidates: &Shared<EvictionCandidates>) -> MutexGuard<'_, EvictionCandidates> {
-    // Each change is a single call on the map, so a panic elsewhere leaves it consistent.
-    candidates.lock().unwrap_or_else(PoisonError::into_inner)
+fn lock<T>(shared: &Shared<T>) -> MutexGuard<'_, T> {
+    // Each change is an assignment or a single call on the map, so a panic elsewhere leaves it consistent.
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 /// Closes the connection that has been silent for longest.
@@ -37,6 +39,8 @@
     semaphore: Arc<Semaphore>,
     limit: usize,
     candidates: Shared<EvictionCandidates>,
+    /// Since when no connection has been free.
+    exhausted_since: Shared<Option<Instant>>,
 }
 
 /// One open connection, counted until this is dropped. Until the connection is active it may be evicted to
@@ -50,7 +54,17 @@
 
 impl ConnectionLimit {
     pub fn new(limit: usize) -> ConnectionLimit {
-        ConnectionLimit { semaphore: Arc::new(Semaphore::new(limit)), limit, candidates: Shared::default() }
+        ConnectionLimit {
+            semaphore: Arc::new(Semaphore::new(limit)),
+            limit,
+            candidates: Shared::default(),
+            exhausted_since: Shared::default(),
+        }
+    }
+
+    /// How long no connection has been free, as far as new ones have asked; zero if the last one got its permit.
+    pub fn exhausted_for(&self) -> Duration {
+        lock(&self.exhausted_since).map_or(Duration::ZERO, |since| since.elapsed())
     }
 
     /// Number of open connections.
@@ -71,9 +85,11 @@
             Ok(permit) => permit,
             Err(_) => {
                 evict_oldest(&self.candidates);
+                lock(&self.exhausted_since).get_or_insert_with(Instant::now);
                 self.semaphore.clone().acquire_owned().await.ok()?
             }
         };
+        *lock(&self.exhausted_since) = None;
         let (close_signal, evicted) = oneshot::channel();
         let mut candidates = lock(&self.candidates);
         let number = candidates.next_number;
--- a/src/bin/foldtrack/interval_stats.rs
+++ b/src/bin/foldtrack/interval_stats.rs
@@ -74,6 +74,11 @@
     pub idle_connections: usize,
     pub pending_notices: usize,
     pub event_loop_lag: Duration,
+    pub client_connections: usize,
+    /// Responses that wait for their clients to read.
+    pub unread_responses: usize,
+    /// How long no client connection has been free.
+    pub no_free_connection_for: Duration,
 }
 
 /// Outcomes as named in the line, in the order of [`outcome_index`].
@@ -148,7 +153,11 @@
             + stats.given_up
             + stats.calls_by_outcome.iter().sum::<u32>()
             == 0;
-        if idle && gauges.held_messages == 0 && gauges.pending_notices == 0 {
+        let nothing_waits = gauges.held_messages == 0
+            && gauges.pending_notices == 0
+            && gauges.unread_responses == 0
+            && gauges.no_free_connection_for.is_zero();
+        if idle && nothing_waits {
             return None;
         }
         let mut text = format!(
@@ -171,7 +180,7 @@
         let _ = write!(
             text,
             " cut short {}, dialled {}, stale {} (idle for {:?} or more, sound to {:?}); held {} waiting {} calls out {} \
-             idle connections {} notices {}; of {} found untried at the start {} given up with no call; longest round {} us, turn of the last second {} us",
+             idle connections {} notices {}; of {} found untried at the start {} given up with no call; longest round {} us, turn of the last second {} us; clients {}, of them {} read no response, none free for {} ms",
             stats.truncated_responses,
             stats.connections_opened,
             stats.stale_resets,
@@ -185,7 +194,10 @@
             gauges.recovery.untried,
             gauges.recovery.given_up_untried,
             stats.longest_round,
-            gauges.event_loop_lag.as_micros()
+            gauges.event_loop_lag.as_micros(),
+            gauges.client_connections,
+            gauges.unread_responses,
+            gauges.no_free_connection_for.as_millis()
         );
         Some(text)
     }
@@ -205,6 +217,9 @@
             idle_connections: 3,
             pending_notices: 0,
             event_loop_lag: Duration::ZERO,
+            client_connections: 0,
+            unread_responses: 0,
+            no_free_connection_for: Duration::ZERO,
         };
         let mut interval_stats = IntervalStats { accepted: 2, ..IntervalStats::default() };
         interval_stats.record_call(Outcome::Reset, Duration::from_millis(30), None);
@@ -224,6 +239,9 @@
         assert_eq!(interval_stats.take_line(&quiet), None);
         let stuck = Gauges { held_messages: 1, ..quiet };
         assert!(interval_stats.take_line(&stuck).is_some_and(|l| l.contains("held 1")));
+        let exhausted = Gauges { no_free_connection_for: Duration::from_millis(300), ..quiet };
+        let line = interval_stats.take_line(&exhausted);
+        assert!(line.is_some_and(|l| l.contains("none free for 300 ms")), "new clients are kept out");
     }
 
     #[test]
@@ -242,6 +260,9 @@
             idle_connections: 0,
             pending_notices: 0,
             event_loop_lag: Duration::ZERO,
+            client_connections: 0,
+            unread_responses: 0,
+            no_free_connection_for: Duration::ZERO,
         };
         let line = interval_stats.take_line(&quiet);
         assert!(line.is_some_and(|l| l.contains("given up 50")));
--- a/src/bin/foldtrack/main.rs
+++ b/src/bin/foldtrack/main.rs
@@ -25,6 +25,7 @@
 mod report_client;
 mod streams;
 mod submission;
+mod unread_responses;
 mod write_ahead_log;
 
 use config::Config;
--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -27,6 +27,7 @@
 use crate::metrics::{MessageResult, Metrics};
 use crate::overload::OverloadMonitor;
 use crate::report_client::ReportClient;
+use crate::unread_responses::UnreadResponses;
 use crate::write_ahead_log::{ExecutionStatus, LogRecord, NonDeliveryNotice, RestoredMessage, WriteAheadLog};
 use hatchline::discovery::list::{ServerList, ServerState};
 use hatchline::settings::DeploymentSettings;
@@ -170,6 +171,7 @@
     /// Connection of a process that has asked to take over in this round.
     successor: Option<UnixStream>,
     connection_limit: ConnectionLimit,
+    unread_responses: UnreadResponses,
     overload: OverloadMonitor,
     /// Actions that the policy has requested in this round.
     actions: Vec<Action>,
@@ -216,7 +218,16 @@
     let (settings, clock, stage) = (node.settings.clone(), node.clock, node.stage.subscribe());
     let (overload, read_limiter) =
         (node.overload.clone(), AdmissionLimiter::new(client_server::READS_PER_TURN));
-    let context = ServerContext { settings, clock, events: events.clone(), stage, overload, read_limiter };
+    let unread_responses = node.unread_responses.clone();
+    let context = ServerContext {
+        settings,
+        clock,
+        events: events.clone(),
+        stage,
+        overload,
+        read_limiter,
+        unread_responses,
+    };
     let accept_task =
         tokio::spawn(accept_loop::serve(listener, Arc::new(context), node.connection_limit.clone()));
     node.accepting = true;
@@ -295,6 +306,7 @@
             listener: None,
             successor: None,
             connection_limit: ConnectionLimit::new(config.max_sockets / 2),
+            unread_responses: UnreadResponses::default(),
             overload: OverloadMonitor::default(),
             actions: Vec::new(),
         };
@@ -354,6 +366,9 @@
                 idle_connections: self.idle_connections.count(),
                 pending_notices: self.pending_notices.len(),
                 event_loop_lag: self.overload.event_loop_lag(),
+                client_connections: self.connection_limit.in_use(),
+                unread_responses: self.unread_responses.count(),
+                no_free_connection_for: self.connection_limit.exhausted_for(),
             });
             line.into_iter().for_each(|line| eprintln!("{line}"));
         }
