Bound what a client that reads no responses can hold, in bytes and in time

Cause: two bounds were missing. The system let the send buffer of a connection grow to 4 MB, so that the forwarder went on responding to peers that read nothing; and once a write did wait, nothing limited for how long, on an open connection and on one that is being closed. Such a connection kept its place for good.

Ruled out: overload (turns stayed short), descriptors (172 of 256), the eviction (these peers had sent a message).

Now the send buffer of a client connection is 16 KiB, and a response that its client leaves unread for 1 s ends the connection; the message is then not accepted, as when a client disconnects. An honest client has one response on the way, which never fills the buffer. The refusal of a client that reads nothing has a limit in time too.

Tests, each seen to fail before: peers_that_read_no_responses_keep_no_client_out (not within 30 s), and without one of the limits client_that_reads_no_response_is_closed_in_time, closing_connection_does_not_wait_for_its_client_to_read, refusal_does_not_wait_for_a_client_that_reads_nothing, few_responses_are_buffered_for_a_peer_that_reads_none.

--- a/src/bin/foldtrack/accept_loop.rs
+++ b/src/bin/foldtrack/accept_loop.rs
@@ -2,11 +2,12 @@
 
 use crate::admission::{AdmissionLimiter, AdmissionWaiter};
 use crate::client_server::{
-    has_hung_up, refuse_unread, serve_client, ServerContext, CLIENT_RESPONSE_TIMEOUT, MAX_READ_DELAY,
+    has_hung_up, serve_client, ServerContext, CLIENT_RESPONSE_TIMEOUT, MAX_READ_DELAY,
 };
 use crate::connection_limit::ConnectionLimit;
 use crate::events::LifecycleStage;
-use rustix::net::listen;
+use crate::streams;
+use rustix::net::{listen, sockopt::set_socket_send_buffer_size};
 use std::future::poll_fn;
 use std::io;
 use std::sync::Arc;
@@ -23,6 +24,10 @@
 /// Length of the listener's accept queue without overload: the length that the listener is bound with.
 const MAX_ACCEPT_BACKLOG: u32 = 1024;
 
+/// Send buffer of a client connection, which holds many responses. By itself the system lets it grow to megabytes
+/// while a client sends requests and reads nothing.
+const SEND_BUFFER_BYTES: usize = 16 * 1024;
+
 /// Number of queued connections that can be accepted in time for a response, given the mean turn time.
 /// Connections beyond it cost no processor time, and a longer queue would fill with clients that have given up.
 fn accept_backlog(mean_turn_time: Duration) -> u32 {
@@ -85,13 +90,17 @@
         };
         match accepted {
             Some((_, stream, _)) if context.overload.is_overloaded() && has_hung_up(&stream) => {
+                // Nearly all of these clients have given up after their 400 ms. Processing their requests would take
+                // the time that the other clients need, until every request is served too late.
                 // Awaited here rather than in a task of its own, which would hold no permit: the number of open
                 // file descriptors would be unbounded.
-                refuse_unread(stream).await;
+                streams::refuse_unread(stream).await;
             }
             Some((permit, stream, queue_time)) => {
                 let context = context.clone();
                 tokio::spawn(async move {
+                    // Without it the connection is served as well, with a larger buffer.
+                    let _ = set_socket_send_buffer_size(&stream, SEND_BUFFER_BYTES);
                     if stream.set_nodelay(true).is_ok() {
                         serve_client(stream, context, permit, queue_time).await;
                     }
--- a/src/bin/foldtrack/accept_loop_tests.rs
+++ b/src/bin/foldtrack/accept_loop_tests.rs
@@ -166,3 +166,28 @@
     }
     timeout(10 * CLOSE_DEADLINE, serving).await.expect("the server stops accepting").unwrap();
 }
+
+/// Guards against megabytes of responses that wait in the system's buffers, and the time to make them, while a peer
+/// sends requests and reads no response.
+#[tokio::test]
+async fn few_responses_are_buffered_for_a_peer_that_reads_none() {
+    /// Requests that are sent at a time.
+    const PIPELINED: usize = 100;
+    const MAX_BUFFERED_RESPONSES: usize = 20_000;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut peer = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    let (_stage, stage_receiver) = watch::channel(LifecycleStage::Serving);
+    let (events, _receiver) = events::channel();
+    let context = context(stage_receiver, events);
+    let unread_responses = context.unread_responses.clone();
+    tokio::spawn(serve(listener, context, ConnectionLimit::new(1)));
+    let requests = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n".repeat(PIPELINED);
+    for _ in 0..MAX_BUFFERED_RESPONSES / PIPELINED {
+        peer.write_all(&requests).await.expect("the connection is open");
+        sleep(Duration::from_millis(1)).await;
+        if unread_responses.count() > 0 {
+            return;
+        }
+    }
+    panic!("{MAX_BUFFERED_RESPONSES} responses are buffered");
+}
--- a/src/bin/foldtrack/client_server.rs
+++ b/src/bin/foldtrack/client_server.rs
@@ -7,7 +7,7 @@
 use crate::overload::OverloadMonitor;
 use crate::streams::{self, ObservedStream, StreamObserver};
 use crate::submission::{read_message, BODY_TIMEOUT};
-use crate::unread_responses::UnreadResponses;
+use crate::unread_responses::{UnreadResponse, UnreadResponses};
 use bytes::Bytes;
 use hatchline::settings::DeploymentSettings;
 use hatchline::Micros;
@@ -20,16 +20,16 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::convert::Infallible;
-use std::future::poll_fn;
+use std::future::{poll_fn, Future};
 use std::io;
-use std::pin::pin;
+use std::pin::{pin, Pin};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::sync::{oneshot, watch};
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, sleep_until, Instant, Sleep};
 
 /// Upper bound on the bytes that a connection buffers.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
@@ -47,6 +47,9 @@
 /// Retry-After for requests refused under overload, where the settings allow one: the excess has been
 /// processed or refused by then.
 const OVERLOAD_RETRY_AFTER: Micros = 1_000_000;
+/// A client that leaves its response unread for this long has given up, as it waits only
+/// [`CLIENT_RESPONSE_TIMEOUT`], or does not speak the protocol.
+const RESPONSE_WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Delay between the `Closing` stage and the close of a connection.
 const CLOSE_DELAY: Duration = Duration::from_millis(50);
 /// Requests read per turn of the event loop: with the connections accepted, about 1 ms of work. Even with 1% of a
@@ -70,17 +73,6 @@
     poll(&mut polled, Some(&Timespec::default())).is_ok_and(|ready| ready > 0)
 }
 
-/// Refuses a connection that was half-closed before it was accepted, under overload, without reading it.
-/// Nearly all of these clients have given up after their 400 ms. Processing their requests would take the
-/// time that the other clients need, until every request is served too late.
-pub(crate) async fn refuse_unread(mut stream: impl ClientStream) {
-    let refusal_response =
-        b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
-    if stream.write_all(refusal_response).await.is_ok() {
-        streams::lingering_close(stream).await;
-    }
-}
-
 /// What a client's socket offers beyond reading and writing.
 pub(crate) trait ClientStream: AsyncRead + AsyncWrite + Unpin {
     /// Ready when there is something to read, or the client has closed its sending side.
@@ -109,8 +101,8 @@
     head_received: bool,
     /// When the previous response was written, if there was one.
     idle_since: Option<Instant>,
-    /// The HTTP library has the response: the next flush completes it.
-    response_ready: bool,
+    /// Since when the HTTP library has the response: the next flush completes it.
+    response_ready_at: Option<Instant>,
     /// Reports whether that response was written, if it accepts a message.
     response_guard: Option<ResponseGuard>,
     /// Data has arrived and waits to be read.
@@ -167,7 +159,7 @@
 
     fn on_flush(&mut self, _: &S, _: &mut Context) {
         let mut progress = self.state.progress();
-        if !progress.response_ready {
+        if progress.response_ready_at.is_none() {
             return;
         }
         // A response that was written whole is binding even if the client disconnects now: it may have
@@ -201,6 +193,41 @@
     }
 }
 
+/// How a connection ends that the server does not close by itself.
+enum ConnectionEnd {
+    /// The client has closed it, or all that was due on it is done.
+    Finished,
+    /// The client has left its response unread for too long.
+    ResponseUnread,
+}
+
+/// Limits how long a response may wait for the client to read, also while the connection is being closed.
+struct ResponseTimer {
+    state: ConnectionState,
+    unread_responses: UnreadResponses,
+    /// The response that waits, and the end of its time.
+    waiting: Option<(UnreadResponse, Pin<Box<Sleep>>)>,
+}
+
+impl ResponseTimer {
+    /// Ready once a response has waited for [`RESPONSE_WRITE_TIMEOUT`]. To be polled after the connection, which
+    /// writes what it can.
+    fn poll_expired(&mut self, cx: &mut Context) -> Poll<()> {
+        let Some(ready_at) = self.state.progress().response_ready_at else {
+            self.waiting = None;
+            return Poll::Pending;
+        };
+        let expires_at = ready_at + RESPONSE_WRITE_TIMEOUT;
+        let (_, timer) = self
+            .waiting
+            .get_or_insert_with(|| (self.unread_responses.add(), Box::pin(sleep_until(expires_at))));
+        if timer.deadline() != expires_at {
+            timer.as_mut().reset(expires_at);
+        }
+        timer.as_mut().poll(cx)
+    }
+}
+
 /// Serves one client connection until it is closed.
 pub(crate) async fn serve_client(
     stream: impl ClientStream, context: Arc<ServerContext>,
@@ -230,7 +257,11 @@
         // A client may half-close its connection after its request and still wait for the response.
         .half_close(true)
         .serve_connection(TokioIo::new(ObservedStream { stream, observer }), service);
-    let mut unread_response = None;
+    let mut response_timer = ResponseTimer {
+        state: state.clone(),
+        unread_responses: context.unread_responses.clone(),
+        waiting: None,
+    };
     let (mut evictable, mut closing) = (true, false);
     let mut idle_timer = pin!(sleep(HEAD_TIMEOUT));
     // A request that has arrived is read before the connection is told to close, as it would be cut off
@@ -238,16 +269,18 @@
     loop {
         tokio::select! {
             biased;
-            // Errors are the client's: it has disconnected, or does not speak HTTP.
-            _ = poll_fn(|cx| {
-                let ended = http_connection.poll_without_shutdown(cx);
-                if !state.progress().response_ready {
-                    unread_response = None;
-                } else if unread_response.is_none() {
-                    unread_response = Some(context.unread_responses.add());
+            // Polled after the connection, so that a response that has just been written is not late.
+            end = poll_fn(|cx| match http_connection.poll_without_shutdown(cx) {
+                // Errors are the client's: it has disconnected, or does not speak HTTP.
+                Poll::Ready(_) => Poll::Ready(ConnectionEnd::Finished),
+                Poll::Pending => response_timer.poll_expired(cx).map(|()| ConnectionEnd::ResponseUnread),
+            }) => match end {
+                ConnectionEnd::Finished => break,
+                ConnectionEnd::ResponseUnread => {
+                    context.events.send(NodeEvent::ResponseUnread);
+                    return;
                 }
-                ended
-            }) => break,
+            },
             signal = &mut evicted, if evictable => {
                 evictable = false;
                 if signal.is_ok() && !permit.decline_eviction() {
@@ -276,7 +309,7 @@
     // A message whose response was not written is not accepted: dropping the guard reports that.
     let client_gone = std::mem::take(&mut *state.progress()).client_gone;
     if client_gone {
-        refuse_unread(client).await;
+        streams::refuse_unread(client).await;
     } else {
         streams::lingering_close(client).await;
     }
@@ -302,7 +335,7 @@
     if *context.stage.borrow() != LifecycleStage::Serving || response.status().is_client_error() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    state.progress().response_ready = true;
+    state.progress().response_ready_at = Some(Instant::now());
     response
 }
 
--- a/src/bin/foldtrack/client_server_tests.rs
+++ b/src/bin/foldtrack/client_server_tests.rs
@@ -228,6 +228,49 @@
     }
 }
 
+/// Lets a client send `requests`, the first of which submits a message, over a network that buffers `buffer_bytes`, and read nothing. Returns the events of
+/// the server, and how long it keeps the connection.
+async fn serve_client_that_reads_nothing(
+    requests: &[u8], buffer_bytes: usize, stage: LifecycleStage,
+) -> (UnboundedReceiver<NodeEvent>, Duration) {
+    let connections = ConnectionLimit::new(1);
+    let (mut client, stage_sender, mut events) = connect_with_buffer(buffer_bytes, &connections).await;
+    let (sent, ()) = tokio::join!(client.write_all(requests), accept_submission(&mut events));
+    sent.unwrap();
+    sleep(Duration::from_millis(1)).await;
+    stage_sender.send_replace(stage);
+    let start = Instant::now();
+    let closed = timeout(100 * CLOSE_DEADLINE, connections.acquire()).await;
+    assert!(closed.is_ok(), "a client that reads nothing keeps its connection");
+    (events, start.elapsed())
+}
+
+/// Guards against clients that read no responses and keep their connections for good, until no new one is accepted.
+#[tokio::test(start_paused = true)]
+async fn client_that_reads_no_response_is_closed_in_time() {
+    let (mut events, took) = serve_client_that_reads_nothing(REQUEST, 32, LifecycleStage::Serving).await;
+    assert!(took < CLOSE_DEADLINE, "closed after {took:?}");
+    assert!(matches!(events.recv().await, Some(NodeEvent::ResponseUnread)));
+}
+
+/// Guards against the same where the unread response is not the first one, and where the process is about to end.
+#[tokio::test(start_paused = true)]
+async fn closing_connection_does_not_wait_for_its_client_to_read() {
+    let requests = [REQUEST, b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"].concat();
+    for stage in [LifecycleStage::Serving, LifecycleStage::Closing] {
+        let (_, took) = serve_client_that_reads_nothing(&requests, 150, stage).await;
+        assert!(took < CLOSE_DEADLINE, "closed after {took:?} at stage {stage:?}");
+    }
+}
+
+/// Guards against a refusal that waits for a client which has left earlier responses unread.
+#[tokio::test(start_paused = true)]
+async fn refusal_does_not_wait_for_a_client_that_reads_nothing() {
+    let (_client, server_side) = duplex(32);
+    let refused = timeout(100 * CLOSE_DEADLINE, streams::refuse_unread(server_side)).await;
+    assert!(refused.is_ok(), "the refusal waits for the client");
+}
+
 /// Operators see from the interval log line that clients do not read.
 #[tokio::test(start_paused = true)]
 async fn unread_responses_are_counted() {
--- a/src/bin/foldtrack/events.rs
+++ b/src/bin/foldtrack/events.rs
@@ -82,6 +82,8 @@
     RefusedLate {
         class: usize,
     },
+    /// A client connection was closed since its client had left a response unread for too long.
+    ResponseUnread,
     CallEnded(CallEnd),
     List(ServerList),
     /// Discovery has acknowledged the notices of these messages.
--- a/src/bin/foldtrack/streams.rs
+++ b/src/bin/foldtrack/streams.rs
@@ -11,6 +11,8 @@
 /// Limits on the time and the bytes of a lingering close. Closing a socket with unread bytes resets the
 /// connection, which can discard a response that is still in transit.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(200);
+/// Limit on the time for writing a refusal.
+const REFUSAL_WRITE_TIMEOUT: Duration = Duration::from_millis(200);
 const MAX_LINGER_BYTES: usize = 256 * 1024;
 
 /// Observes the reads and flushes of an [`ObservedStream`]. The HTTP library flushes a stream once it has
@@ -70,6 +72,16 @@
     }
 }
 
+/// Responds 503 to a connection without reading what it has sent, and closes it.
+pub(crate) async fn refuse_unread(mut stream: impl AsyncRead + AsyncWrite + Unpin) {
+    const REFUSAL: &[u8] =
+        b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+    // Earlier responses may fill the send buffer of a peer that reads none.
+    if let Ok(Ok(())) = timeout(REFUSAL_WRITE_TIMEOUT, stream.write_all(REFUSAL)).await {
+        lingering_close(stream).await;
+    }
+}
+
 /// Closes a connection after reading what the peer still sends, so that the last response is not lost.
 pub(crate) async fn lingering_close(mut stream: impl AsyncRead + AsyncWrite + Unpin) {
     if stream.shutdown().await.is_err() {
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -5,6 +5,7 @@
 mod edge_cases;
 mod harness;
 mod hot_restart;
+mod unread_responses;
 
 use harness::*;
 use hatchline::discovery::ListRequest;
