Refuse new connections at the limit instead of waiting without end

Callers saw: while active connections hold all places, a new connection had neither an answer nor a close, and those behind it waited in the accept queue; a client could not tell a full forwarder from a dead one.

Cause: ConnectionLimit::acquire waited, and the accept loop with it, until some connection closed, though nothing promises that one does. The wait was also cancelled by a change of stage, so that a takeover reset the connection that waited.

Now an accepted connection waits at most 200 ms for a place, and all that come meanwhile share that time; then it gets a 503 unread. Up to 8 refusals run beside the accept loop, each in a task of its own, and further connections are closed unread, so that none waits for a peer that neither reads nor closes. The wait is not cancelled by a change of stage. The admin server shares the limit and refuses after 500 ms, so that its answer is there within the second. The refusals are counted in the interval log line.

Looked at as well and left: the refusal of half-closed clients under overload is awaited in the accept loop, but all that they had to send has arrived by then, so that it waits for none of them.

Tests, each seen to fail on the accept loop before: connections_beyond_the_limit_are_refused_in_time, refusals_do_not_wait_for_their_peers, connection_that_waits_at_the_limit_is_answered_after_a_takeover.

--- a/src/bin/foldtrack/accept_loop.rs
+++ b/src/bin/foldtrack/accept_loop.rs
@@ -5,7 +5,7 @@
     has_hung_up, serve_client, ServerContext, CLIENT_RESPONSE_TIMEOUT, MAX_READ_DELAY,
 };
 use crate::connection_limit::ConnectionLimit;
-use crate::events::LifecycleStage;
+use crate::events::{LifecycleStage, NodeEvent};
 use crate::streams;
 use rustix::net::{listen, sockopt::set_socket_send_buffer_size};
 use std::future::poll_fn;
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use std::task::Poll;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, Instant};
 
 /// Delay before accepting again after an error, such as a lack of file descriptors.
@@ -28,6 +28,9 @@
 /// while a client sends requests and reads nothing.
 const SEND_BUFFER_BYTES: usize = 16 * 1024;
 
+/// How long an accepted connection waits for another one to close before it is refused.
+const MAX_CONNECTION_WAIT: Duration = MAX_READ_DELAY;
+
 /// Number of queued connections that can be accepted in time for a response, given the mean turn time.
 /// Connections beyond it cost no processor time, and a longer queue would fill with clients that have given up.
 fn accept_backlog(mean_turn_time: Duration) -> u32 {
@@ -67,11 +70,7 @@
             if !was_queued {
                 queue_empty_at = Instant::now();
             }
-            Some((
-                connections.acquire().await?,
-                stream,
-                queue_empty_at.elapsed().min(CLIENT_RESPONSE_TIMEOUT),
-            ))
+            Some(stream)
         };
         let accepted = tokio::select! {
             accepted = accept => accepted,
@@ -89,29 +88,40 @@
             }
         };
         match accepted {
-            Some((_, stream, _)) if context.overload.is_overloaded() && has_hung_up(&stream) => {
-                // Nearly all of these clients have given up after their 400 ms. Processing their requests would take
-                // the time that the other clients need, until every request is served too late.
-                // Awaited here rather than in a task of its own, which would hold no permit: the number of open
-                // file descriptors would be unbounded.
-                streams::refuse_unread(stream).await;
-            }
-            Some((permit, stream, queue_time)) => {
-                let context = context.clone();
-                tokio::spawn(async move {
-                    // Without it the connection is served as well, with a larger buffer.
-                    let _ = set_socket_send_buffer_size(&stream, SEND_BUFFER_BYTES);
-                    if stream.set_nodelay(true).is_ok() {
-                        serve_client(stream, context, permit, queue_time).await;
-                    }
-                });
-            }
+            // Not cancelled by a change of stage: this process owes the accepted connection a response.
+            Some(stream) => admit_connection(stream, queue_empty_at, &context, &connections).await,
             None if queue_drained => return,
             None => sleep(ACCEPT_RETRY_DELAY).await,
         }
     }
 }
 
+/// Serves an accepted connection in a task of its own, or refuses it at the connection limit. Connections may have
+/// waited in the accept queue since `queue_empty_at`.
+async fn admit_connection(
+    stream: TcpStream, queue_empty_at: Instant, context: &Arc<ServerContext>, connections: &ConnectionLimit,
+) {
+    let Some(permit) = connections.acquire_within(MAX_CONNECTION_WAIT).await else {
+        context.events.send(NodeEvent::ConnectionRefused);
+        return connections.refuse(stream);
+    };
+    if context.overload.is_overloaded() && has_hung_up(&stream) {
+        // Nearly all of these clients have given up after their 400 ms. Processing their requests would take the time
+        // that the other clients need, until every request is served too late. Awaited here, so that refusals are no
+        // faster than the event loop: what these clients had to send has arrived, so that this waits for none of them.
+        return streams::refuse_unread(stream).await;
+    }
+    let queue_time = queue_empty_at.elapsed().min(CLIENT_RESPONSE_TIMEOUT);
+    let context = context.clone();
+    tokio::spawn(async move {
+        // Without it the connection is served as well, with a larger buffer.
+        let _ = set_socket_send_buffer_size(&stream, SEND_BUFFER_BYTES);
+        if stream.set_nodelay(true).is_ok() {
+            serve_client(stream, context, permit, queue_time).await;
+        }
+    });
+}
+
 /// Sets the length of the listener's accept queue.
 fn set_backlog(listener: &TcpListener, count: u32) {
     if let Err(error) = listen(listener, i32::try_from(count).unwrap_or(i32::MAX)) {
--- a/src/bin/foldtrack/accept_loop_tests.rs
+++ b/src/bin/foldtrack/accept_loop_tests.rs
@@ -5,11 +5,12 @@
     accept_submission, context, context_with_overload, CLOSE_DEADLINE, REQUEST,
 };
 use crate::client_server::READS_PER_TURN;
-use crate::events::{self, LifecycleStage, NodeEvent};
+use crate::connection_limit::MAX_REFUSALS;
+use crate::events;
 use crate::overload::OverloadMonitor;
 use std::net::SocketAddr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::watch;
 use tokio::task::yield_now;
 use tokio::time::timeout;
@@ -191,3 +192,82 @@
     }
     panic!("{MAX_BUFFERED_RESPONSES} responses are buffered");
 }
+
+/// A server with `limit` active clients, which wait for the responses to the messages that they have submitted.
+struct FullServer {
+    address: SocketAddr,
+    stage: watch::Sender<LifecycleStage>,
+    events: UnboundedReceiver<NodeEvent>,
+    clients: Vec<TcpStream>,
+    submissions: Vec<NodeEvent>,
+}
+
+async fn start_full_server(limit: usize) -> FullServer {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (stage, stage_receiver) = watch::channel(LifecycleStage::Serving);
+    let (events, mut receiver) = events::channel();
+    tokio::spawn(serve(listener, context(stage_receiver, events), ConnectionLimit::new(limit)));
+    let (clients, mut submissions) = (clients(address, limit).await, Vec::new());
+    for _ in 0..limit {
+        submissions.push(receiver.recv().await.expect("a submitted message"));
+    }
+    FullServer { address, stage, events: receiver, clients, submissions }
+}
+
+/// Reads until the connection ends; a reset counts as its end.
+async fn read_to_end(client: &mut TcpStream) -> String {
+    let mut response = Vec::new();
+    let read = timeout(10 * CLOSE_DEADLINE, client.read_to_end(&mut response)).await;
+    assert!(read.is_ok(), "the connection has neither a response nor an end");
+    String::from_utf8(response).unwrap()
+}
+
+/// Guards against an accept loop that waits without limit for one of the open connections to close: no new client had
+/// an answer, though none of those that kept it waiting did anything wrong.
+#[tokio::test]
+async fn connections_beyond_the_limit_are_refused_in_time() {
+    let mut server = start_full_server(2).await;
+    for _ in 0..2 {
+        let [mut client] = <[_; 1]>::try_from(clients(server.address, 1).await).unwrap();
+        let response = read_to_end(&mut client).await;
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+        assert!(matches!(server.events.recv().await, Some(NodeEvent::ConnectionRefused)));
+    }
+    // Once an active client has left, a new one is served.
+    drop((server.clients.pop(), server.submissions.pop()));
+    let served = async {
+        loop {
+            let _client = clients(server.address, 1).await;
+            if let Some(NodeEvent::Submit { .. }) = server.events.recv().await {
+                return;
+            }
+        }
+    };
+    assert!(timeout(10 * CLOSE_DEADLINE, served).await.is_ok(), "a free connection is not used");
+}
+
+/// Guards against refusals that wait for each other: peers beyond the limit neither read nor close.
+#[tokio::test]
+async fn refusals_do_not_wait_for_their_peers() {
+    let server = start_full_server(1).await;
+    let mut peers = clients(server.address, 4 * MAX_REFUSALS).await;
+    let start = Instant::now();
+    for peer in &mut peers {
+        let _ = timeout(10 * CLOSE_DEADLINE, peer.readable()).await.expect("a response or an end");
+    }
+    let one_after_another = 4 * MAX_REFUSALS as u32 * MAX_CONNECTION_WAIT;
+    assert!(start.elapsed() < one_after_another / 2, "took {:?}", start.elapsed());
+}
+
+/// Guards against a takeover that resets the connection which waits for another one to close.
+#[tokio::test]
+async fn connection_that_waits_at_the_limit_is_answered_after_a_takeover() {
+    let mut server = start_full_server(1).await;
+    let [mut client] = <[_; 1]>::try_from(clients(server.address, 1).await).unwrap();
+    tokio::time::sleep(MAX_CONNECTION_WAIT / 4).await;
+    server.stage.send_replace(LifecycleStage::HandedOver);
+    let response = read_to_end(&mut client).await;
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    server.submissions.clear();
+}
--- a/src/bin/foldtrack/admin_server.rs
+++ b/src/bin/foldtrack/admin_server.rs
@@ -25,6 +25,8 @@
 pub(crate) const MAX_CONNECTIONS: usize = 16;
 /// Time within which a request has to arrive whole: its response is due 1 s after it began.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(600);
+/// How long an accepted connection waits for another one to close before it is refused.
+const MAX_CONNECTION_WAIT: Duration = Duration::from_millis(500);
 /// If the node has not responded this long after the connection was accepted, for example because it waits to
 /// take over, the response is 503.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(900);
@@ -48,14 +50,14 @@
     };
     let connections = ConnectionLimit::new(MAX_CONNECTIONS);
     loop {
-        let accepted = match listener.accept().await {
-            Ok((stream, _)) => connections.acquire().await.map(|permit| (stream, permit)),
-            Err(_) => None,
-        };
-        let Some((stream, (permit, evicted))) = accepted else {
+        let Ok((stream, _)) = listener.accept().await else {
             sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
+        let Some((permit, evicted)) = connections.acquire_within(MAX_CONNECTION_WAIT).await else {
+            connections.refuse(stream);
+            continue;
+        };
         let events = events.clone();
         tokio::spawn(async move {
             tokio::select! {
--- a/src/bin/foldtrack/client_server_tests.rs
+++ b/src/bin/foldtrack/client_server_tests.rs
@@ -70,7 +70,7 @@
     let (peer, server_side) = duplex(buffer_bytes);
     let (stage, stage_receiver) = watch::channel(LifecycleStage::Serving);
     let (events, receiver) = events::channel();
-    let permit = connections.acquire().await.expect("a permit");
+    let permit = connections.acquire_within(CLOSE_DEADLINE).await.expect("a permit");
     let context = context(stage_receiver, events);
     tokio::spawn(serve_client(server_side, context, permit, Duration::ZERO));
     (peer, stage, receiver)
@@ -132,8 +132,10 @@
     let (mut client, server_side) = duplex(1024);
     let (_stage, stage_receiver) = watch::channel(LifecycleStage::Serving);
     let (events, mut receiver) = events::channel();
-    let (context, permit) =
-        (context(stage_receiver, events), ConnectionLimit::new(1).acquire().await.expect("a permit"));
+    let (context, permit) = (
+        context(stage_receiver, events),
+        ConnectionLimit::new(1).acquire_within(CLOSE_DEADLINE).await.expect("a permit"),
+    );
     let now = context.clock.now();
     tokio::spawn(serve_client(server_side, context, permit, Duration::from_millis(300)));
     for queue_time in [300_000, 0] {
@@ -160,11 +162,11 @@
     let submitted = events.recv().await;
     assert!(matches!(submitted, Some(NodeEvent::Submit { .. })));
     let start = Instant::now();
-    let _first = connections.acquire().await;
+    let _first = connections.acquire_within(CLOSE_DEADLINE).await;
     assert!(start.elapsed() < Duration::from_millis(100), "waited {:?} for a permit", start.elapsed());
     let (_, took) = read_until_closed(&mut peers[1].0).await;
     assert!(took.is_zero(), "the peer that was silent for longest stayed for {took:?}");
-    let _second = connections.acquire().await;
+    let _second = connections.acquire_within(CLOSE_DEADLINE).await;
     let (_, took) = read_until_closed(&mut peers[2].0).await;
     assert!(took.is_zero(), "the other silent peer stayed for {took:?}");
     drop(submitted);
@@ -193,7 +195,7 @@
     let (mut silent, _silent_stage, _silent_events) = connect_with_limit(&connections).await;
     client.write_all(REQUEST).await.unwrap();
     // No task has run since: the oldest candidate is evicted before its request is read.
-    let (next, ()) = tokio::join!(connections.acquire(), accept_submission(&mut events));
+    let (next, ()) = tokio::join!(connections.acquire_within(CLOSE_DEADLINE), accept_submission(&mut events));
     assert!(next.is_some());
     let mut response = [0; 12];
     client.read_exact(&mut response).await.expect("the client has its response");
@@ -240,8 +242,8 @@
     sleep(Duration::from_millis(1)).await;
     stage_sender.send_replace(stage);
     let start = Instant::now();
-    let closed = timeout(100 * CLOSE_DEADLINE, connections.acquire()).await;
-    assert!(closed.is_ok(), "a client that reads nothing keeps its connection");
+    let closed = connections.acquire_within(100 * CLOSE_DEADLINE).await;
+    assert!(closed.is_some(), "a client that reads nothing keeps its connection");
     (events, start.elapsed())
 }
 
@@ -277,8 +279,10 @@
     let (mut client, server_side) = duplex(32);
     let (_stage, stage_receiver) = watch::channel(LifecycleStage::Serving);
     let (events, _receiver) = events::channel();
-    let (context, permit) =
-        (context(stage_receiver, events), ConnectionLimit::new(1).acquire().await.expect("a permit"));
+    let (context, permit) = (
+        context(stage_receiver, events),
+        ConnectionLimit::new(1).acquire_within(CLOSE_DEADLINE).await.expect("a permit"),
+    );
     let unread_responses = context.unread_responses.clone();
     tokio::spawn(serve_client(server_side, context, permit, Duration::ZERO));
     client.write_all(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").await.unwrap();
--- a/src/bin/foldtrack/connection_limit.rs
+++ b/src/bin/foldtrack/connection_limit.rs
@@ -1,12 +1,14 @@
 //! Limits the open connections of one listener. Any peer may connect: unless silent connections are closed to
 //! make room, they would keep other clients waiting to be accepted.
 
+use crate::streams;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::sync::{oneshot, OwnedSemaphorePermit, Semaphore};
-use tokio::time::Instant;
+use tokio::time::{timeout_at, Instant};
 
 /// Connections that have not sent a request yet, in the order of their arrival, and the signals that close
 /// them.
@@ -24,19 +26,21 @@
     shared.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Closes the connection that has been silent for longest.
-fn evict_oldest(candidates: &Shared<EvictionCandidates>) {
+/// Closes the connection that has been silent for longest. Returns whether there was one.
+fn evict_oldest(candidates: &Shared<EvictionCandidates>) -> bool {
     let oldest = lock(candidates).close_signals.pop_first();
-    if let Some((_, close_signal)) = oldest {
-        // If the connection has just ended by itself, that makes room too.
-        let _ = close_signal.send(());
-    }
+    // If the connection has just ended by itself, that makes room too.
+    oldest.map(|(_, close_signal)| close_signal.send(())).is_some()
 }
 
+/// Connections that may be refused at a time. Each holds a file descriptor beyond the limit.
+pub(crate) const MAX_REFUSALS: usize = 8;
+
 /// Limit on the open connections of one listener.
 #[derive(Clone)]
 pub(crate) struct ConnectionLimit {
     semaphore: Arc<Semaphore>,
+    refusals: Arc<Semaphore>,
     limit: usize,
     candidates: Shared<EvictionCandidates>,
     /// Since when no connection has been free.
@@ -56,20 +60,23 @@
     pub fn new(limit: usize) -> ConnectionLimit {
         ConnectionLimit {
             semaphore: Arc::new(Semaphore::new(limit)),
+            refusals: Arc::new(Semaphore::new(MAX_REFUSALS)),
             limit,
             candidates: Shared::default(),
             exhausted_since: Shared::default(),
         }
     }
 
-    /// How long no connection has been free, as far as new ones have asked; zero if the last one got its permit.
+    /// For how long new connections have found none free; zero if there is one.
     pub fn exhausted_for(&self) -> Duration {
-        lock(&self.exhausted_since).map_or(Duration::ZERO, |since| since.elapsed())
+        let since = lock(&self.exhausted_since).filter(|_| self.semaphore.available_permits() == 0);
+        since.map_or(Duration::ZERO, |since| since.elapsed())
     }
 
-    /// Number of open connections.
+    /// Number of open connections, those that are being refused included.
     pub fn in_use(&self) -> usize {
-        self.limit.saturating_sub(self.semaphore.available_permits())
+        (self.limit + MAX_REFUSALS)
+            .saturating_sub(self.semaphore.available_permits() + self.refusals.available_permits())
     }
 
     /// Reserves up to `count` of the connections that are still free.
@@ -78,15 +85,31 @@
         self.semaphore.clone().try_acquire_many_owned(u32::try_from(count).ok()?).ok()
     }
 
-    /// Waits for a free connection and returns its permit, with the receiver that tells it to close. At the
-    /// limit, the connection that has been silent for longest is evicted.
-    pub async fn acquire(&self) -> Option<(ConnectionPermit, oneshot::Receiver<()>)> {
+    /// Refuses a connection for which none is free, in a task of its own, since its peer need not read or close. It is
+    /// closed unread where too many refusals are under way.
+    pub fn refuse(&self, stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static) {
+        let Ok(refusal_permit) = self.refusals.clone().try_acquire_owned() else { return };
+        tokio::spawn(async move {
+            streams::refuse_unread(stream).await;
+            drop(refusal_permit);
+        });
+    }
+
+    /// Returns the permit of a free connection, with the receiver that tells it to close. At the limit, the connection
+    /// that has been silent for longest is evicted. If there is none, this waits, but not once no connection has been
+    /// free for `max_wait`: all that ask meanwhile share that time.
+    pub async fn acquire_within(
+        &self, max_wait: Duration,
+    ) -> Option<(ConnectionPermit, oneshot::Receiver<()>)> {
         let permit = match self.semaphore.clone().try_acquire_owned() {
             Ok(permit) => permit,
             Err(_) => {
-                evict_oldest(&self.candidates);
-                lock(&self.exhausted_since).get_or_insert_with(Instant::now);
-                self.semaphore.clone().acquire_owned().await.ok()?
+                let now = Instant::now();
+                let evicted = evict_oldest(&self.candidates);
+                let exhausted_since = *lock(&self.exhausted_since).get_or_insert(now);
+                let wait_from = if evicted { now } else { exhausted_since };
+                let acquired = timeout_at(wait_from + max_wait, self.semaphore.clone().acquire_owned()).await;
+                acquired.ok()?.ok()?
             }
         };
         *lock(&self.exhausted_since) = None;
--- a/src/bin/foldtrack/events.rs
+++ b/src/bin/foldtrack/events.rs
@@ -82,6 +82,8 @@
     RefusedLate {
         class: usize,
     },
+    /// A connection was refused, since no client connection was free.
+    ConnectionRefused,
     /// A client connection was closed since its client had left a response unread for too long.
     ResponseUnread,
     CallEnded(CallEnd),
--- a/src/bin/foldtrack/interval_stats.rs
+++ b/src/bin/foldtrack/interval_stats.rs
@@ -20,6 +20,8 @@
     given_up: u32,
     /// Clients that disconnected before their response was written.
     pub clients_gone: u32,
+    /// Connections refused since no client connection was free.
+    pub connections_refused: u32,
     /// Client connections closed since a response stayed unread.
     pub closed_unread: u32,
     /// Calls by outcome, in the order of [`outcome_index`].
@@ -154,6 +156,7 @@
             + stats.handed_back
             + stats.given_up
             + stats.closed_unread
+            + stats.connections_refused
             + stats.calls_by_outcome.iter().sum::<u32>()
             == 0;
         let nothing_waits = gauges.held_messages == 0
@@ -183,7 +186,7 @@
         let _ = write!(
             text,
             " cut short {}, dialled {}, stale {} (idle for {:?} or more, sound to {:?}); held {} waiting {} calls out {} \
-             idle connections {} notices {}; of {} found untried at the start {} given up with no call; longest round {} us, turn of the last second {} us; clients {}, of them {} read no response, closed for that {}, none free for {} ms",
+             idle connections {} notices {}; of {} found untried at the start {} given up with no call; longest round {} us, turn of the last second {} us; clients {}, of them {} read no response, closed for that {}, none free for {} ms, refused for that {}",
             stats.truncated_responses,
             stats.connections_opened,
             stats.stale_resets,
@@ -201,7 +204,8 @@
             gauges.client_connections,
             gauges.unread_responses,
             stats.closed_unread,
-            gauges.no_free_connection_for.as_millis()
+            gauges.no_free_connection_for.as_millis(),
+            stats.connections_refused
         );
         Some(text)
     }
--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -386,6 +386,7 @@
                 self.interval_stats.refused_late += 1;
                 self.metrics.record_result(class, MessageResult::Shed);
             }
+            NodeEvent::ConnectionRefused => self.interval_stats.connections_refused += 1,
             NodeEvent::ResponseUnread => self.interval_stats.closed_unread += 1,
             NodeEvent::CallEnded(end) => self.call_ended(end),
             NodeEvent::List(list) => {
