Take nothing for a response that arrived before its request was written

Callers saw: where endpoints send a good response twice, or noise straight after it, messages counted as delivered that their endpoint had never got, or had answered otherwise; others were given up though nothing was wrong with them.

Cause, three parts of one: a connection was used again in the moment its response had come. What the endpoint sent behind it was then still on its way, or in the socket and not yet seen by the runtime, and the next request was written all the same, so that the second copy was read as its response. Where the HTTP library did see it in time and refused, the status line that we keep beside it had taken the "200" of the copy, and the unsent message counted as delivered. The connection for reports had the same fault: a second copy of an acknowledgement ended the next report.

By a test without races: the copy lies in the socket and the call ends as Ok, completed.

Now bytes read before the first byte of a request was written fail the connection and leave the request unsent; just before that byte is written the system is asked whether anything is unread. A connection rests 10 ms between two calls; one that has rested goes first, and where there is none the call waits. A response that is complete no longer counts as cut short for what follows it.

--- a/src/bin/foldtrack/accept_loop.rs
+++ b/src/bin/foldtrack/accept_loop.rs
@@ -2,7 +2,7 @@
 
 use crate::admission::{AdmissionLimiter, AdmissionWaiter};
 use crate::client_server::{
-    has_hung_up, serve_client, ServerContext, CLIENT_RESPONSE_TIMEOUT, MAX_READ_DELAY,
+    serve_client, ClientStream, ServerContext, CLIENT_RESPONSE_TIMEOUT, MAX_READ_DELAY,
 };
 use crate::connection_limit::ConnectionLimit;
 use crate::events::{LifecycleStage, NodeEvent};
@@ -105,7 +105,7 @@
         context.events.send(NodeEvent::ConnectionRefused);
         return connections.refuse(stream);
     };
-    if context.overload.is_overloaded() && has_hung_up(&stream) {
+    if context.overload.is_overloaded() && stream.has_hung_up() {
         // Nearly all of these clients have given up after their 400 ms. Processing their requests would take the time
         // that the other clients need, until every request is served too late. Awaited here, so that refusals are no
         // faster than the event loop: what these clients had to send has arrived, so that this waits for none of them.
--- a/src/bin/foldtrack/calls.rs
+++ b/src/bin/foldtrack/calls.rs
@@ -1,7 +1,8 @@
 //! Calls to endpoints: runs one call to its outcome, and pools the connections that are idle between calls.
 
-use crate::connection::{HttpConnection, RequestBody, SendError, StatusLine};
+use crate::connection::{HttpConnection, RequestBody, SendError};
 use crate::events::{CallEnd, EventSender, NodeEvent};
+use crate::exchange::Exchange;
 use crate::message::Message;
 use hatchline::{LimitReport, Outcome, TargetId};
 use hyper::body::Incoming;
@@ -12,13 +13,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
-use tokio::time::{sleep_until, timeout, Instant};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 /// The status line and headers of a response decide its outcome. If the body does not arrive within this time and
 /// size, the connection is closed instead of being used again.
 const BODY_TIMEOUT: Duration = Duration::from_millis(20);
 const MAX_BODY_BYTES: usize = 64 * 1024;
 
+/// Pause between a response and the next request on its connection: what an endpoint sends straight after its response
+/// arrives within this time and closes the connection. Later it would be taken for the next response.
+const REUSE_PAUSE: Duration = Duration::from_millis(10);
+
 /// Idle connections by target; in each list the most recently used comes last.
 #[derive(Debug)]
 pub(crate) struct IdleConnectionPool {
@@ -39,8 +44,13 @@
     pub fn take(&mut self, target: TargetId) -> Option<(Duration, HttpConnection)> {
         self.evict_expired();
         let idle = self.by_target.get_mut(&target)?;
-        let newest = idle.iter().rposition(|(_, c)| c.is_usable())?;
-        let (idle_since, connection) = idle.remove(newest);
+        let is_ready = |(idle_since, c): &(Instant, HttpConnection)| {
+            c.is_usable() && idle_since.elapsed() >= REUSE_PAUSE
+        };
+        // A call on a connection that is not ready waits until it is: a new connection would cost the endpoint more.
+        let newest_ready = idle.iter().rposition(is_ready);
+        let chosen = newest_ready.or_else(|| idle.iter().rposition(|(_, c)| c.is_usable()))?;
+        let (idle_since, connection) = idle.remove(chosen);
         Some((idle_since.elapsed(), connection))
     }
 
@@ -98,11 +108,16 @@
     end.idle_for = idle.as_ref().map(|(idle_for, _)| *idle_for);
     let (reused, written_events) = (idle.is_some(), events.clone());
     // Once the request has been handed to the connection, only a response proves that it did not run.
-    let mut status_line = None;
+    let mut exchange = None;
     let mut unused_connection = None;
-    let exchange = async {
+    let call_result = async {
         let mut connection = match idle {
-            Some((_, connection)) => connection,
+            Some((idle_for, connection)) => {
+                if idle_for < REUSE_PAUSE {
+                    sleep(REUSE_PAUSE - idle_for).await;
+                }
+                connection
+            }
             None => {
                 let on_written = move |class| written_events.send(NodeEvent::MessageWritten { class });
                 let Ok(Ok(connection)) =
@@ -124,10 +139,10 @@
         };
         let body = connection.request_body(&message);
         let request = build_request(&message, body, address, timeout_at).ok_or(Outcome::NotSent)?;
-        status_line = Some(connection.status_line.clone());
+        exchange = Some(connection.exchange.clone());
         match connection.send(request).await {
             Ok(response) => Ok((connection, response)),
-            // A pooled connection that the endpoint has closed says nothing about its health.
+            // A pooled connection that the endpoint has closed, or sent more on, says nothing about its health.
             Err(SendError::NotWritten) if reused => Err(Outcome::NotSent),
             Err(SendError::NotWritten) => Err(Outcome::ConnectFailed),
             Err(SendError::ConnectionLost) => Err(Outcome::Reset),
@@ -135,7 +150,7 @@
     };
     let result = tokio::select! {
         biased;
-        result = exchange => result.map_err(Some),
+        result = call_result => result.map_err(Some),
         () = sleep_until(timeout_at) => Err(None),
         Ok(()) = &mut cancelled => Err(Some(Outcome::Cancelled)),
     };
@@ -145,17 +160,21 @@
             if !reused && rejects_connection(&end, &response) {
                 end.outcome = Outcome::TooManyConnections;
             }
-            let body =
-                timeout(BODY_TIMEOUT, connection.read_body(response.into_body(), MAX_BODY_BYTES)).await;
-            end.connection = matches!(body, Ok(Some(_))).then_some(connection);
-            end.response_truncated = end.connection.is_none() && end.outcome != Outcome::TooManyConnections;
+            end.response_truncated = true;
+            let read = async {
+                let body = connection.read_body(response.into_body(), MAX_BODY_BYTES).await;
+                end.response_truncated = body.is_none();
+                body.is_some() && connection.is_ready_again().await
+            };
+            let reusable = timeout(BODY_TIMEOUT, read).await.unwrap_or(false);
+            end.connection = reusable.then_some(connection);
         }
         // The status line says 200, but the response cannot be read or is incomplete: the message is delivered.
-        Err(_) if status_line.as_ref().is_some_and(StatusLine::is_ok) => {
+        Err(_) if exchange.as_ref().is_some_and(Exchange::has_ok_status_line) => {
             (end.outcome, end.completes_message, end.response_truncated) = (Outcome::Ok, true, true);
         }
-        Err(Some(Outcome::Cancelled)) if status_line.is_none() => end.outcome = Outcome::NotSent,
-        Err(None) if status_line.is_none() => end.outcome = Outcome::ConnectFailed,
+        Err(Some(Outcome::Cancelled)) if exchange.is_none() => end.outcome = Outcome::NotSent,
+        Err(None) if exchange.is_none() => end.outcome = Outcome::ConnectFailed,
         Err(None) => end.outcome = Outcome::TimedOut,
         Err(Some(outcome)) => (end.outcome, end.connection) = (outcome, unused_connection),
     }
@@ -222,3 +241,7 @@
     };
     Some(LimitReport { share_left: value("x0")?, rate: value("x1")? })
 }
+
+#[cfg(test)]
+#[path = "calls_tests.rs"]
+mod tests;
--- /dev/null
+++ b/src/bin/foldtrack/calls_tests.rs
@@ -0,0 +1,114 @@
+//! Tests of calls on kept connections. The test holds the endpoint's side of each connection.
+
+use super::*;
+use crate::events;
+use crate::message::Message;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use tokio::task::spawn_blocking;
+
+const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+const WAIT_LIMIT: Duration = Duration::from_secs(10);
+
+fn call(address: SocketAddr, idle_for: Duration, connection: HttpConnection) -> Call {
+    let message = Message {
+        id: "m".into(),
+        class: 0,
+        destination: 1,
+        order_key: String::new(),
+        idempotency_key: None,
+        retry_header: None,
+        expires_at: 0,
+        body: "x".into(),
+    };
+    Call {
+        number: 1,
+        attempt: 0,
+        target: 0,
+        address,
+        message: Arc::new(message),
+        connect_timeout: WAIT_LIMIT,
+        timeout_at: Instant::now() + WAIT_LIMIT,
+        connection: Some((idle_for, connection)),
+        reads_limit_reports: false,
+        generation: 0,
+    }
+}
+
+/// Makes a call on a kept connection. Returns its end.
+async fn make_call_on(address: SocketAddr, idle_for: Duration, connection: HttpConnection) -> CallEnd {
+    let ((events, mut receiver), (_cancel, cancelled)) = (events::channel(), oneshot::channel());
+    tokio::spawn(make_call(call(address, idle_for, connection), cancelled, events));
+    loop {
+        match receiver.recv().await {
+            Some(NodeEvent::CallEnded(end)) => return end,
+            Some(_) => {}
+            None => panic!("the call has not ended"),
+        }
+    }
+}
+
+/// A connection on which one call has been answered, and the endpoint's side of it.
+async fn kept_connection(listener: &TcpListener) -> (HttpConnection, TcpStream) {
+    let address = listener.local_addr().unwrap();
+    let connection = HttpConnection::open(address, |_| ()).await.unwrap();
+    let (mut endpoint, _) = listener.accept().unwrap();
+    endpoint.set_read_timeout(Some(WAIT_LIMIT)).unwrap();
+    let responds = spawn_blocking(move || {
+        assert!(endpoint.read(&mut [0; 1024]).unwrap() > 0);
+        endpoint.write_all(RESPONSE).unwrap();
+        endpoint
+    });
+    let end = make_call_on(address, WAIT_LIMIT, connection).await;
+    assert_eq!(end.outcome, Outcome::Ok);
+    (end.connection.expect("the connection is kept"), responds.await.unwrap())
+}
+
+/// Guards against a second copy of a response that is taken for the response to the next message: that message counted
+/// as delivered. The copy has arrived, and the runtime has not noticed it yet.
+#[tokio::test]
+async fn a_second_copy_of_a_response_does_not_end_the_next_message() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (connection, mut endpoint) = kept_connection(&listener).await;
+    endpoint.write_all(RESPONSE).unwrap();
+    let end = make_call_on(listener.local_addr().unwrap(), WAIT_LIMIT, connection).await;
+    assert_eq!((end.outcome, end.completes_message), (Outcome::NotSent, false));
+    assert!(end.connection.is_none(), "the connection is used again");
+    let mut received = Vec::new();
+    let _ = endpoint.read_to_end(&mut received);
+    assert!(received.is_empty(), "the message has been sent");
+}
+
+/// Guards against a second copy that arrives a moment later, when the next request is on its way.
+#[tokio::test]
+async fn a_connection_is_used_again_after_a_pause() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (connection, mut endpoint) = kept_connection(&listener).await;
+    let address = listener.local_addr().unwrap();
+    let start = Instant::now();
+    let responds = spawn_blocking(move || {
+        assert!(endpoint.read(&mut [0; 1024]).unwrap() > 0);
+        let received_at = Instant::now();
+        endpoint.write_all(RESPONSE).unwrap();
+        received_at
+    });
+    let end = make_call_on(address, Duration::ZERO, connection).await;
+    assert_eq!(end.outcome, Outcome::Ok);
+    assert!(responds.await.unwrap() - start >= REUSE_PAUSE);
+}
+
+/// A response that brings more is complete: its connection is closed, but it does not count as cut short.
+#[tokio::test]
+async fn a_response_with_more_behind_it_is_complete() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (connection, mut endpoint) = kept_connection(&listener).await;
+    let responds = spawn_blocking(move || {
+        assert!(endpoint.read(&mut [0; 1024]).unwrap() > 0);
+        endpoint.write_all(&RESPONSE.repeat(2)).unwrap();
+        endpoint
+    });
+    let end = make_call_on(listener.local_addr().unwrap(), WAIT_LIMIT, connection).await;
+    assert_eq!((end.outcome, end.response_truncated), (Outcome::Ok, false));
+    assert!(end.connection.is_none(), "the connection is used again");
+    drop(responds.await.unwrap());
+}
--- a/src/bin/foldtrack/client_server.rs
+++ b/src/bin/foldtrack/client_server.rs
@@ -5,7 +5,7 @@
 use crate::connection_limit::ConnectionPermit;
 use crate::events::{EventSender, LifecycleStage, NodeEvent, ResponseGuard, SubmitResponse};
 use crate::overload::OverloadMonitor;
-use crate::streams::{self, ObservedStream, StreamObserver};
+use crate::streams::{self, has_poll_events, ObservedStream, StreamObserver};
 use crate::submission::{read_message, BODY_TIMEOUT};
 use crate::unread_responses::{UnreadResponse, UnreadResponses};
 use bytes::Bytes;
@@ -18,7 +18,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use rustix::event::PollFlags;
 use std::convert::Infallible;
 use std::future::{poll_fn, Future};
 use std::io;
@@ -67,12 +67,6 @@
     pub unread_responses: UnreadResponses,
 }
 
-/// Whether a client has closed its sending side, even if data that it sent is still unread.
-pub(crate) fn has_hung_up(stream: &TcpStream) -> bool {
-    let mut polled = [PollFd::new(stream, PollFlags::RDHUP)];
-    poll(&mut polled, Some(&Timespec::default())).is_ok_and(|ready| ready > 0)
-}
-
 /// What a client's socket offers beyond reading and writing.
 pub(crate) trait ClientStream: AsyncRead + AsyncWrite + Unpin {
     /// Ready when there is something to read, or the client has closed its sending side.
@@ -88,7 +82,7 @@
     }
 
     fn has_hung_up(&self) -> bool {
-        has_hung_up(self)
+        has_poll_events(self, PollFlags::RDHUP)
     }
 }
 
@@ -153,8 +147,9 @@
         Poll::Ready(Ok(()))
     }
 
-    fn on_read(&mut self, bytes: &[u8]) {
+    fn on_read(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.state.progress().request_started |= !bytes.is_empty();
+        Ok(())
     }
 
     fn on_flush(&mut self, _: &S, _: &mut Context) {
--- a/src/bin/foldtrack/connection.rs
+++ b/src/bin/foldtrack/connection.rs
@@ -1,6 +1,7 @@
 //! HTTP client connections to endpoints and to discovery, one request at a time. They report when a message has been
-//! written completely, and keep the status line of its response.
+//! written completely.
 
+use crate::exchange::Exchange;
 use crate::message::Message;
 use crate::streams::{ObservedStream, StreamObserver};
 use bytes::Bytes;
@@ -11,9 +12,10 @@
 use hyper_util::rt::TokioIo;
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::{fmt, io};
 use tokio::net::TcpStream;
@@ -22,9 +24,6 @@
 /// Longest head of a response.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 
-/// Bytes kept of a status line; the status is at its start.
-const MAX_STATUS_LINE_BYTES: usize = 512;
-
 /// Value of `PendingClass` while no message is being written.
 const NOT_WRITING: usize = usize::MAX;
 
@@ -83,46 +82,20 @@
     }
 }
 
-/// The status line of a response, as far as it has arrived. The HTTP library discards it together with a response
-/// that is invalid or truncated, though a status of 200 means that the message is delivered.
-#[derive(Clone, Default)]
-pub(crate) struct StatusLine(Arc<Mutex<Vec<u8>>>);
-
-impl StatusLine {
-    fn bytes(&self) -> MutexGuard<'_, Vec<u8>> {
-        // Each change is a single call on the line: a panic elsewhere leaves it consistent.
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn append(&self, bytes: &[u8]) {
-        let mut line = self.bytes();
-        if line.ends_with(b"\n") {
-            return;
-        }
-        let end = bytes.iter().position(|b| *b == b'\n').map_or(bytes.len(), |at| at + 1);
-        let free = MAX_STATUS_LINE_BYTES.saturating_sub(line.len());
-        line.extend_from_slice(&bytes[..end.min(free)]);
-    }
-
-    /// Whether the line is complete and its status is 200.
-    pub fn is_ok(&self) -> bool {
-        let line = self.bytes();
-        let mut parts = line.split(|b| b.is_ascii_whitespace());
-        let version = parts.next().is_some_and(|part| part.starts_with(b"HTTP/"));
-        version && line.ends_with(b"\n") && parts.next() == Some(b"200")
-    }
-}
-
-/// Reports each message that has been written completely, and keeps the status line of its response.
+/// Reports each message that has been written completely, and follows the exchange that it belongs to.
 struct CallObserver<F> {
     pending_class: PendingClass,
-    status_line: StatusLine,
+    exchange: Exchange,
     on_written: F,
 }
 
-impl<S, F: Fn(usize)> StreamObserver<S> for CallObserver<F> {
-    fn on_read(&mut self, bytes: &[u8]) {
-        self.status_line.append(bytes);
+impl<S: AsFd, F: Fn(usize)> StreamObserver<S> for CallObserver<F> {
+    fn on_read(&mut self, bytes: &[u8]) -> io::Result<()> {
+        StreamObserver::<S>::on_read(&mut self.exchange, bytes)
+    }
+
+    fn before_write(&mut self, stream: &S) -> io::Result<()> {
+        self.exchange.before_write(stream)
     }
 
     fn on_flush(&mut self, _: &S, _: &mut Context) {
@@ -138,7 +111,7 @@
     sender: SendRequest<RequestBody>,
     driver: JoinHandle<()>,
     pending_class: PendingClass,
-    pub status_line: StatusLine,
+    pub exchange: Exchange,
 }
 
 impl fmt::Debug for HttpConnection {
@@ -155,7 +128,7 @@
 
 /// Why a request got no response.
 pub(crate) enum SendError {
-    /// The connection returned the request before any byte of it was written.
+    /// No byte of the request has been written.
     NotWritten,
     /// The connection was closed or the response is invalid; the request may have run.
     ConnectionLost,
@@ -170,19 +143,16 @@
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let pending_class = PendingClass::new(AtomicUsize::new(NOT_WRITING));
-        let status_line = StatusLine::default();
-        let observer = CallObserver {
-            pending_class: pending_class.clone(),
-            status_line: status_line.clone(),
-            on_written,
-        };
+        let exchange = Exchange::default();
+        let observer =
+            CallObserver { pending_class: pending_class.clone(), exchange: exchange.clone(), on_written };
         let observed = ObservedStream { stream, observer };
         let handshake =
             http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(observed)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         // The call in flight gets the error; between calls an error only closes the connection.
         let driver = tokio::spawn(async move { drop(connection.await) });
-        Ok(HttpConnection { sender, driver, pending_class, status_line })
+        Ok(HttpConnection { sender, driver, pending_class, exchange })
     }
 
     /// The body for a message on this connection. The end of its write is reported.
@@ -192,18 +162,23 @@
 
     /// Sends a request and waits for the head of the response.
     pub async fn send(&mut self, request: Request<RequestBody>) -> Result<Response<Incoming>, SendError> {
-        self.status_line.bytes().clear();
-        self.sender.try_send_request(request).await.map_err(|mut error| match error.take_message() {
-            Some(_) => SendError::NotWritten,
-            None => SendError::ConnectionLost,
+        self.exchange.begin();
+        let response = self.sender.try_send_request(request).await;
+        response.map_err(|_| match self.exchange.request_begun() {
+            true => SendError::ConnectionLost,
+            false => SendError::NotWritten,
         })
     }
 
-    /// Reads a response body to its end and waits until the connection is ready for the next request.
+    /// Reads a response body to its end.
     pub async fn read_body(&mut self, body: Incoming, limit: usize) -> Option<Bytes> {
-        let body = Limited::new(body, limit).collect().await.ok()?.to_bytes();
-        self.sender.ready().await.ok()?;
-        Some(body)
+        Some(Limited::new(body, limit).collect().await.ok()?.to_bytes())
+    }
+
+    /// Waits until the connection is ready for the next request. Returns false if it is closed: the peer has closed it,
+    /// or has sent more than its response.
+    pub async fn is_ready_again(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
     }
 
     pub fn is_usable(&self) -> bool {
--- a/src/bin/foldtrack/discovery_client.rs
+++ b/src/bin/foldtrack/discovery_client.rs
@@ -54,6 +54,9 @@
         }
         let body = connection.read_body(response.into_body(), MAX_LIST_BYTES).await;
         let body = body.ok_or(TransportError::Interrupted)?;
+        if !connection.is_ready_again().await {
+            return Err(TransportError::Interrupted);
+        }
         self.connection = Some(connection);
         Ok(Reply { status, body })
     }
--- a/src/bin/foldtrack/main.rs
+++ b/src/bin/foldtrack/main.rs
@@ -16,6 +16,7 @@
 mod draining;
 mod endpoint_list_cache;
 mod events;
+mod exchange;
 mod hot_restart;
 mod interval_stats;
 mod message;
--- a/src/bin/foldtrack/report_client.rs
+++ b/src/bin/foldtrack/report_client.rs
@@ -1,5 +1,7 @@
 //! Reports undelivered messages to discovery, until each notice is acknowledged.
 
+use crate::exchange::Exchange;
+use crate::streams::ObservedStream;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -32,6 +34,7 @@
 /// A connection for reports. Its driver is polled within the call on it: a task of its own would have to wait for its
 /// turn behind all tasks that are ready, twice for each report.
 struct ReportConnection {
+    exchange: Exchange,
     sender: SendRequest<Full<Bytes>>,
     driver: Option<Pin<Box<dyn Future<Output = ()> + Send>>>,
 }
@@ -40,15 +43,19 @@
     async fn open(address: SocketAddr) -> io::Result<ReportConnection> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        let exchange = Exchange::default();
+        let observed = ObservedStream { stream, observer: exchange.clone() };
+        let (sender, connection) =
+            http1::handshake(TokioIo::new(observed)).await.map_err(io::Error::other)?;
         // The call in flight gets the error.
         let driver = async move { drop(connection.await) };
-        Ok(ReportConnection { sender, driver: Some(Box::pin(driver)) })
+        Ok(ReportConnection { exchange, sender, driver: Some(Box::pin(driver)) })
     }
 
     /// Sends one request. Returns the status of the response, and whether the connection can be used again.
     async fn call(&mut self, request: Request<Full<Bytes>>) -> Option<(StatusCode, bool)> {
-        let ReportConnection { sender, driver } = self;
+        let ReportConnection { exchange, sender, driver } = self;
+        exchange.begin();
         let call = async {
             let (head, body) = sender.send_request(request).await.ok()?.into_parts();
             let complete = Limited::new(body, MAX_RESPONSE_BYTES).collect().await.is_ok();
--- a/src/bin/foldtrack/report_client_tests.rs
+++ b/src/bin/foldtrack/report_client_tests.rs
@@ -85,3 +85,28 @@
     new.set_nonblocking(true).unwrap();
     new.accept().expect("a connection to the new address");
 }
+
+/// Guards against a second copy of an acknowledgement that is taken for that of the next report, whose notices then
+/// never arrived.
+#[tokio::test]
+async fn a_second_copy_of_an_acknowledgement_counts_for_no_other_report() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (_discovery, address_receiver) = watch::channel(address);
+    let mut reports = ReportClient::new(address_receiver);
+    *lock_idle_connection(&reports.idle_connection) =
+        Some((address, ReportConnection::open(address).await.unwrap()));
+    let mut silent_server = listener.accept().unwrap().0;
+    listener.set_nonblocking(true).unwrap();
+    let listener = TcpListener::from_std(listener).unwrap();
+    // The copy has arrived, and the runtime has not noticed it yet.
+    std::io::Write::write_all(&mut silent_server, ACKNOWLEDGED).unwrap();
+    reports.send("{}\n".into(), vec![7]);
+    let accepted = async {
+        tokio::select! {
+            _ = reports.acknowledged() => panic!("acknowledged by the second copy"),
+            accepted = listener.accept() => accepted.unwrap().0,
+        }
+    };
+    let _new_connection = timeout(TIMEOUT, accepted).await.expect("the report goes to a new connection");
+}
--- a/src/bin/foldtrack/streams.rs
+++ b/src/bin/foldtrack/streams.rs
@@ -1,7 +1,9 @@
 //! Helpers between a socket and the HTTP library: a stream wrapper with an observer, and the lingering close
 //! of a connection.
 
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::io;
+use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
@@ -22,8 +24,14 @@
     fn poll_read_allowed(&mut self, _stream: &S, _cx: &mut Context) -> Poll<io::Result<()>> {
         Poll::Ready(Ok(()))
     }
-    /// Called with the bytes of each read.
-    fn on_read(&mut self, _bytes: &[u8]) {}
+    /// Called with the bytes of each read, which an error fails.
+    fn on_read(&mut self, _bytes: &[u8]) -> io::Result<()> {
+        Ok(())
+    }
+    /// Called before each write, which an error fails.
+    fn before_write(&mut self, _stream: &S) -> io::Result<()> {
+        Ok(())
+    }
     /// Called after each completed flush.
     fn on_flush(&mut self, _stream: &S, _cx: &mut Context) {}
 }
@@ -40,20 +48,23 @@
         ready!(this.observer.poll_read_allowed(&this.stream, cx))?;
         let filled_before = buf.filled().len();
         ready!(Pin::new(&mut this.stream).poll_read(cx, buf))?;
-        this.observer.on_read(&buf.filled()[filled_before..]);
-        Poll::Ready(Ok(()))
+        Poll::Ready(this.observer.on_read(&buf.filled()[filled_before..]))
     }
 }
 
 impl<S: AsyncWrite + Unpin, T: StreamObserver<S> + Unpin> AsyncWrite for ObservedStream<S, T> {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let this = self.get_mut();
+        this.observer.before_write(&this.stream)?;
+        Pin::new(&mut this.stream).poll_write(cx, buf)
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>, cx: &mut Context, bufs: &[io::IoSlice],
+        self: Pin<&mut Self>, cx: &mut Context, bufs: &[io::IoSlice],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let this = self.get_mut();
+        this.observer.before_write(&this.stream)?;
+        Pin::new(&mut this.stream).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -72,6 +83,13 @@
     }
 }
 
+/// Whether one of these events, or an error, is pending on a stream now. This asks the system: the runtime knows only
+/// what it has found when it last polled.
+pub(crate) fn has_poll_events(stream: &impl AsFd, events: PollFlags) -> bool {
+    let mut polled = [PollFd::new(stream, events)];
+    poll(&mut polled, Some(&Timespec::default())).is_ok_and(|ready| ready > 0)
+}
+
 /// Responds 503 to a connection without reading what it has sent, and closes it.
 pub(crate) async fn refuse_unread(mut stream: impl AsyncRead + AsyncWrite + Unpin) {
     const REFUSAL: &[u8] =
--- a/tests/forwarder/harness.rs
+++ b/tests/forwarder/harness.rs
@@ -1,5 +1,6 @@
 //! Test harness: HTTP servers on loopback in place of targets and discovery, and the forwarder as a child process.
 
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use serde_json::{json, Value};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -57,6 +58,8 @@
     OkAndClose,
     /// A status after a delay.
     Delayed(Duration, u16),
+    /// Status 200, and after a pause these bytes, unless another request has arrived by then.
+    OkThenExcess(Duration, &'static [u8]),
     /// No response; the connection stays open.
     Silent,
     /// Status 200 with a chunked body that never ends.
@@ -99,6 +102,11 @@
     Some(Request { method, path, headers, body, received_at: Instant::now(), connection })
 }
 
+fn has_unread_bytes(stream: &TcpStream) -> bool {
+    let mut polled = [PollFd::new(stream, PollFlags::IN)];
+    poll(&mut polled, Some(&Timespec::default())).is_ok_and(|ready| ready > 0)
+}
+
 impl HttpServer {
     pub fn start(handler: impl Fn(&Request) -> Response + Send + Sync + 'static) -> Arc<HttpServer> {
         HttpServer::start_on(TcpListener::bind("127.0.0.1:0").unwrap(), handler)
@@ -146,6 +154,14 @@
                     thread::sleep(delay);
                     with_status(code, "", b"")
                 }
+                Response::OkThenExcess(pause, excess) => {
+                    let _ = stream.write_all(&with_status(200, "", b""));
+                    thread::sleep(pause);
+                    if !reader.buffer().is_empty() || has_unread_bytes(&stream) {
+                        continue;
+                    }
+                    excess.to_vec()
+                }
                 Response::OkAndClose => {
                     let _ = stream.write_all(&with_status(200, "", b""));
                     let _ = stream.shutdown(Shutdown::Both);
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -3,6 +3,7 @@
 
 mod admin;
 mod edge_cases;
+mod excess_responses;
 mod harness;
 mod hot_restart;
 mod unread_responses;
