Use a complete list from discovery whatever follows it on its connection

Callers saw: where discovery sends noise or a second copy behind its list, the forwarder used none of its lists: it kept to the one it had started with, past drains and replacements.

Cause: the reply counted only once its connection was ready for the next request. With more bytes behind the reply the HTTP library closes the connection, and a list that had been read to its end was dropped as interrupted. A kept connection that was closed meanwhile cost the next watch a pause as well.

Now the list counts when its body is complete, and a request that could not begin on the kept connection goes to a new one at once.

--- a/src/bin/foldtrack/discovery_client.rs
+++ b/src/bin/foldtrack/discovery_client.rs
@@ -1,13 +1,12 @@
 //! The discovery client over HTTP, which passes the endpoint lists on to the node. The connection is kept between
 //! exchanges unless one fails.
 
-use crate::connection::{HttpConnection, RequestBody};
+use crate::connection::{HttpConnection, RequestBody, SendError};
 use crate::events::{EventSender, NodeEvent};
 use bytes::Bytes;
 use hatchline::discovery::{Client, ClientOptions, DiscoveryEvent};
 use hatchline::discovery::{ListRequest, Reply, Transport, TransportError};
 use hatchline::Settings;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST};
 use hyper::{Request, Response};
@@ -36,28 +35,37 @@
     connection: Option<HttpConnection>,
 }
 
+impl HttpTransport {
+    /// Sends a request on the kept connection, or on a new one if that turns out to be closed.
+    async fn send(
+        &mut self, address: SocketAddr, request: &ListRequest,
+    ) -> Result<(HttpConnection, Response<Incoming>), TransportError> {
+        if let Some(mut connection) = self.connection.take() {
+            match connection.send(http_request(address, request)?).await {
+                Ok(response) => return Ok((connection, response)),
+                Err(SendError::NotWritten) => {}
+                Err(SendError::ConnectionLost) => return Err(TransportError::Interrupted),
+            }
+        }
+        let opened = HttpConnection::open(address, |_| ()).await;
+        let mut connection = opened.map_err(TransportError::Connect)?;
+        let sent = connection.send(http_request(address, request)?).await;
+        Ok((connection, sent.map_err(|_| TransportError::Interrupted)?))
+    }
+}
+
 impl Transport for HttpTransport {
     async fn exchange(
         &mut self, address: SocketAddr, request: &ListRequest,
     ) -> Result<Reply, TransportError> {
-        let request = http_request(address, request)?;
-        let mut connection = match self.connection.take() {
-            Some(connection) => connection,
-            None => HttpConnection::open(address, |_| ()).await.map_err(TransportError::Connect)?,
-        };
-        let response = connection.send(request).await.map_err(|_| TransportError::Interrupted)?;
-        let status = response.status();
-        if closes_connection(&response) {
-            let body = Limited::new(response.into_body(), MAX_LIST_BYTES).collect().await;
-            let body = body.map_err(|_| TransportError::Interrupted)?.to_bytes();
-            return Ok(Reply { status, body });
-        }
+        let (mut connection, response) = self.send(address, request).await?;
+        let (status, closes) = (response.status(), closes_connection(&response));
         let body = connection.read_body(response.into_body(), MAX_LIST_BYTES).await;
         let body = body.ok_or(TransportError::Interrupted)?;
-        if !connection.is_ready_again().await {
-            return Err(TransportError::Interrupted);
+        // The reply is complete and counts, whatever becomes of its connection.
+        if !closes && connection.is_ready_again().await {
+            self.connection = Some(connection);
         }
-        self.connection = Some(connection);
         Ok(Reply { status, body })
     }
 
--- a/tests/forwarder/excess_responses.rs
+++ b/tests/forwarder/excess_responses.rs
@@ -3,6 +3,7 @@
 use crate::admin::metric;
 use crate::harness::*;
 use crate::MILLIS;
+use serde_json::json;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -64,3 +65,20 @@
         assert_each_message_has_its_own_result(Duration::from_micros(pause), b"\0\0noise\r\n\r\n");
     }
 }
+
+/// Guards against lists that are dropped since discovery sends more than belongs to them.
+#[test]
+fn a_list_counts_though_more_follows_it() {
+    let target = HttpServer::start(|_| OK);
+    let discovery = DiscoveryServer::start(vec![]);
+    let list =
+        json!({"version": 7, "full": true, "servers": [list_entry("s-1", target.address, 1, "active")]});
+    let body = list.to_string();
+    let reply = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}HTTP/1.1 200 OK\r\n", body.len());
+    let reply: &'static [u8] = Vec::leak(reply.into_bytes());
+    discovery.server.set_handler(move |_| Response::Raw(reply));
+    let forwarder = Forwarder::start(&discovery);
+    wait_until("the list is used", || metric(&forwarder, "pool_size") == 1);
+    assert_eq!(forwarder.submit(&fee_message("m1")), 202);
+    wait_until("the target receives the call", || target.message_ids() == ["m1"]);
+}
