Let the connection itself rest before it is used again

The pause before the next call stood with the calls, so that discovery's connection had none: a second copy of a list was taken for the reply to the next watch, and each reply after it for that of the watch behind. The pause and the question whether it is over are now the connection's, for both its users; a watch still follows within the 200 ms that it may.

Without the check before the first byte a_second_copy_of_a_response_does_not_end_the_next_message fails.

--- a/src/bin/foldtrack/calls.rs
+++ b/src/bin/foldtrack/calls.rs
@@ -13,17 +13,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
-use tokio::time::{sleep, sleep_until, timeout, Instant};
+use tokio::time::{sleep_until, timeout, Instant};
 
 /// The status line and headers of a response decide its outcome. If the body does not arrive within this time and
 /// size, the connection is closed instead of being used again.
 const BODY_TIMEOUT: Duration = Duration::from_millis(20);
 const MAX_BODY_BYTES: usize = 64 * 1024;
 
-/// Pause between a response and the next request on its connection: what an endpoint sends straight after its response
-/// arrives within this time and closes the connection. Later it would be taken for the next response.
-const REUSE_PAUSE: Duration = Duration::from_millis(10);
-
 /// Idle connections by target; in each list the most recently used comes last.
 #[derive(Debug)]
 pub(crate) struct IdleConnectionPool {
@@ -44,12 +40,9 @@
     pub fn take(&mut self, target: TargetId) -> Option<(Duration, HttpConnection)> {
         self.evict_expired();
         let idle = self.by_target.get_mut(&target)?;
-        let is_ready = |(idle_since, c): &(Instant, HttpConnection)| {
-            c.is_usable() && idle_since.elapsed() >= REUSE_PAUSE
-        };
-        // A call on a connection that is not ready waits until it is: a new connection would cost the endpoint more.
-        let newest_ready = idle.iter().rposition(is_ready);
-        let chosen = newest_ready.or_else(|| idle.iter().rposition(|(_, c)| c.is_usable()))?;
+        // A call on a connection that is not rested waits until it is: a new one would cost the endpoint more.
+        let rested = idle.iter().rposition(|(_, c)| c.is_usable() && c.is_rested());
+        let chosen = rested.or_else(|| idle.iter().rposition(|(_, c)| c.is_usable()))?;
         let (idle_since, connection) = idle.remove(chosen);
         Some((idle_since.elapsed(), connection))
     }
@@ -112,12 +105,7 @@
     let mut unused_connection = None;
     let call_result = async {
         let mut connection = match idle {
-            Some((idle_for, connection)) => {
-                if idle_for < REUSE_PAUSE {
-                    sleep(REUSE_PAUSE - idle_for).await;
-                }
-                connection
-            }
+            Some((_, connection)) => connection,
             None => {
                 let on_written = move |class| written_events.send(NodeEvent::MessageWritten { class });
                 let Ok(Ok(connection)) =
--- a/src/bin/foldtrack/calls_tests.rs
+++ b/src/bin/foldtrack/calls_tests.rs
@@ -1,16 +1,18 @@
 //! Tests of calls on kept connections. The test holds the endpoint's side of each connection.
 
 use super::*;
+use crate::connection::REUSE_PAUSE;
 use crate::events;
 use crate::message::Message;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use tokio::task::spawn_blocking;
+use tokio::time::sleep;
 
 const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 const WAIT_LIMIT: Duration = Duration::from_secs(10);
 
-fn call(address: SocketAddr, idle_for: Duration, connection: HttpConnection) -> Call {
+fn call(address: SocketAddr, connection: HttpConnection) -> Call {
     let message = Message {
         id: "m".into(),
         class: 0,
@@ -29,16 +31,16 @@
         message: Arc::new(message),
         connect_timeout: WAIT_LIMIT,
         timeout_at: Instant::now() + WAIT_LIMIT,
-        connection: Some((idle_for, connection)),
+        connection: Some((Duration::ZERO, connection)),
         reads_limit_reports: false,
         generation: 0,
     }
 }
 
 /// Makes a call on a kept connection. Returns its end.
-async fn make_call_on(address: SocketAddr, idle_for: Duration, connection: HttpConnection) -> CallEnd {
+async fn make_call_on(address: SocketAddr, connection: HttpConnection) -> CallEnd {
     let ((events, mut receiver), (_cancel, cancelled)) = (events::channel(), oneshot::channel());
-    tokio::spawn(make_call(call(address, idle_for, connection), cancelled, events));
+    tokio::spawn(make_call(call(address, connection), cancelled, events));
     loop {
         match receiver.recv().await {
             Some(NodeEvent::CallEnded(end)) => return end,
@@ -59,7 +61,7 @@
         endpoint.write_all(RESPONSE).unwrap();
         endpoint
     });
-    let end = make_call_on(address, WAIT_LIMIT, connection).await;
+    let end = make_call_on(address, connection).await;
     assert_eq!(end.outcome, Outcome::Ok);
     (end.connection.expect("the connection is kept"), responds.await.unwrap())
 }
@@ -70,8 +72,9 @@
 async fn a_second_copy_of_a_response_does_not_end_the_next_message() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let (connection, mut endpoint) = kept_connection(&listener).await;
+    sleep(2 * REUSE_PAUSE).await;
     endpoint.write_all(RESPONSE).unwrap();
-    let end = make_call_on(listener.local_addr().unwrap(), WAIT_LIMIT, connection).await;
+    let end = make_call_on(listener.local_addr().unwrap(), connection).await;
     assert_eq!((end.outcome, end.completes_message), (Outcome::NotSent, false));
     assert!(end.connection.is_none(), "the connection is used again");
     let mut received = Vec::new();
@@ -83,16 +86,15 @@
 #[tokio::test]
 async fn a_connection_is_used_again_after_a_pause() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let (connection, mut endpoint) = kept_connection(&listener).await;
-    let address = listener.local_addr().unwrap();
     let start = Instant::now();
+    let (connection, mut endpoint) = kept_connection(&listener).await;
     let responds = spawn_blocking(move || {
         assert!(endpoint.read(&mut [0; 1024]).unwrap() > 0);
         let received_at = Instant::now();
         endpoint.write_all(RESPONSE).unwrap();
         received_at
     });
-    let end = make_call_on(address, Duration::ZERO, connection).await;
+    let end = make_call_on(listener.local_addr().unwrap(), connection).await;
     assert_eq!(end.outcome, Outcome::Ok);
     assert!(responds.await.unwrap() - start >= REUSE_PAUSE);
 }
@@ -107,7 +109,7 @@
         endpoint.write_all(&RESPONSE.repeat(2)).unwrap();
         endpoint
     });
-    let end = make_call_on(listener.local_addr().unwrap(), WAIT_LIMIT, connection).await;
+    let end = make_call_on(listener.local_addr().unwrap(), connection).await;
     assert_eq!((end.outcome, end.response_truncated), (Outcome::Ok, false));
     assert!(end.connection.is_none(), "the connection is used again");
     drop(responds.await.unwrap());
--- a/src/bin/foldtrack/connection.rs
+++ b/src/bin/foldtrack/connection.rs
@@ -17,13 +17,19 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 use std::{fmt, io};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
+use tokio::time::{sleep_until, Instant};
 
 /// Longest head of a response.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 
+/// Pause between a response and the next request on its connection: what a peer sends straight after its response
+/// arrives within this time and closes the connection. Later it would be taken for the next response.
+pub(crate) const REUSE_PAUSE: Duration = Duration::from_millis(10);
+
 /// Value of `PendingClass` while no message is being written.
 const NOT_WRITING: usize = usize::MAX;
 
@@ -112,6 +118,8 @@
     driver: JoinHandle<()>,
     pending_class: PendingClass,
     pub exchange: Exchange,
+    /// When the last response ended.
+    idle_since: Option<Instant>,
 }
 
 impl fmt::Debug for HttpConnection {
@@ -152,7 +160,7 @@
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         // The call in flight gets the error; between calls an error only closes the connection.
         let driver = tokio::spawn(async move { drop(connection.await) });
-        Ok(HttpConnection { sender, driver, pending_class, exchange })
+        Ok(HttpConnection { sender, driver, pending_class, exchange, idle_since: None })
     }
 
     /// The body for a message on this connection. The end of its write is reported.
@@ -160,8 +168,16 @@
         RequestBody::reported(message.body.clone(), message.class, self.pending_class.clone())
     }
 
-    /// Sends a request and waits for the head of the response.
+    /// Whether the pause after the last response is over.
+    pub fn is_rested(&self) -> bool {
+        self.idle_since.is_none_or(|since| since.elapsed() >= REUSE_PAUSE)
+    }
+
+    /// Sends a request, once the connection is rested, and waits for the head of the response.
     pub async fn send(&mut self, request: Request<RequestBody>) -> Result<Response<Incoming>, SendError> {
+        if let Some(since) = self.idle_since.filter(|_| !self.is_rested()) {
+            sleep_until(since + REUSE_PAUSE).await;
+        }
         self.exchange.begin();
         let response = self.sender.try_send_request(request).await;
         response.map_err(|_| match self.exchange.request_begun() {
@@ -178,6 +194,7 @@
     /// Waits until the connection is ready for the next request. Returns false if it is closed: the peer has closed it,
     /// or has sent more than its response.
     pub async fn is_ready_again(&mut self) -> bool {
+        self.idle_since = Some(Instant::now());
         self.sender.ready().await.is_ok()
     }
 
