--- a/src/bin/foldtrack/calls.rs
+++ b/src/bin/foldtrack/calls.rs
@@ -40,10 +40,8 @@
     pub fn take(&mut self, target: TargetId) -> Option<(Duration, HttpConnection)> {
         self.evict_expired();
         let idle = self.by_target.get_mut(&target)?;
-        // A call on a connection that is not rested waits until it is: a new one would cost the endpoint more.
-        let rested = idle.iter().rposition(|(_, c)| c.is_usable() && c.is_rested());
-        let chosen = rested.or_else(|| idle.iter().rposition(|(_, c)| c.is_usable()))?;
-        let (idle_since, connection) = idle.remove(chosen);
+        let newest = idle.iter().rposition(|(_, c)| c.is_usable())?;
+        let (idle_since, connection) = idle.remove(newest);
         Some((idle_since.elapsed(), connection))
     }
 
--- a/src/bin/foldtrack/connection.rs
+++ b/src/bin/foldtrack/connection.rs
@@ -168,15 +168,12 @@
         RequestBody::reported(message.body.clone(), message.class, self.pending_class.clone())
     }
 
-    /// Whether the pause after the last response is over.
-    pub fn is_rested(&self) -> bool {
-        self.idle_since.is_none_or(|since| since.elapsed() >= REUSE_PAUSE)
-    }
-
     /// Sends a request, once the connection is rested, and waits for the head of the response.
     pub async fn send(&mut self, request: Request<RequestBody>) -> Result<Response<Incoming>, SendError> {
-        if let Some(since) = self.idle_since.filter(|_| !self.is_rested()) {
-            sleep_until(since + REUSE_PAUSE).await;
+        if let Some(rested_at) = self.idle_since.map(|since| since + REUSE_PAUSE) {
+            if Instant::now() < rested_at {
+                sleep_until(rested_at).await;
+            }
         }
         self.exchange.begin();
         let response = self.sender.try_send_request(request).await;
