Let half requests of operators make room, and end their connections

Callers saw: with 16 operators' requests that stop within their body, each call at the admin address waited for up to 0.8 s, and got 503 since connections at the limit are refused after 0.5 s.

Cause: a connection was protected from eviction once its head had arrived, while its body might never come. Nor was there an upper bound for a connection whose peer reads nothing; no case is known in which a response of this server fills a buffer.

Now a connection is protected once its request has come whole, as with clients, and ends after 2 s whatever its peer does. peer_that_stops_in_a_later_head_is_closed_in_time covers the same wait on the connections of clients, where the limit held.

--- a/src/bin/foldtrack/admin_server.rs
+++ b/src/bin/foldtrack/admin_server.rs
@@ -30,6 +30,8 @@
 /// If the node has not responded this long after the connection was accepted, for example because it waits to
 /// take over, the response is 503.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(900);
+/// Upper bound on the time of a connection, whatever its peer reads.
+const CONNECTION_TIMEOUT: Duration = Duration::from_secs(2);
 /// No request needs a body; one longer than this is not read.
 const MAX_BODY_BYTES: usize = 4 * 1024;
 /// Limit on the head of a request: the least that the HTTP library supports.
@@ -81,22 +83,26 @@
         .keep_alive(false)
         .half_close(true)
         .serve_connection(TokioIo::new(stream), service);
+    let served = poll_fn(|cx| http_connection.poll_without_shutdown(cx));
     // Errors are the peer's: it has disconnected, or does not speak HTTP.
-    let _ = poll_fn(|cx| http_connection.poll_without_shutdown(cx)).await;
+    if timeout(CONNECTION_TIMEOUT, served).await.is_err() {
+        return;
+    }
     streams::lingering_close(http_connection.into_parts().io.into_inner()).await;
 }
 
 async fn respond(
     request: Request<Incoming>, events: &EventSender, permit: &ConnectionPermit, deadline: Instant,
 ) -> Response<Full<Bytes>> {
+    let admin_request = parse_request(request.method(), request.uri().path());
+    let body = read_body(request.into_body()).await;
+    // Until then it makes room for others, as a silent connection does.
     permit.mark_active();
-    let AdminResponse { status, text } = match parse_request(request.method(), request.uri().path()) {
-        Ok(admin_request) => match read_body(request.into_body()).await {
-            Ok(()) => ask_node(admin_request, events, deadline).await,
-            Err(status) => AdminResponse::new(status, ""),
-        },
-        Err(RequestError::UnknownPath) => AdminResponse::new(StatusCode::NOT_FOUND, ""),
-        Err(RequestError::MethodNotAllowed(allowed)) => {
+    let AdminResponse { status, text } = match (admin_request, body) {
+        (Ok(admin_request), Ok(())) => ask_node(admin_request, events, deadline).await,
+        (Ok(_), Err(status)) => AdminResponse::new(status, ""),
+        (Err(RequestError::UnknownPath), _) => AdminResponse::new(StatusCode::NOT_FOUND, ""),
+        (Err(RequestError::MethodNotAllowed(allowed)), _) => {
             let mut response = Response::new(Full::default());
             *response.status_mut() = StatusCode::METHOD_NOT_ALLOWED;
             response.headers_mut().insert(ALLOW, HeaderValue::from_static(allowed));
--- a/src/bin/foldtrack/client_server_tests.rs
+++ b/src/bin/foldtrack/client_server_tests.rs
@@ -110,6 +110,19 @@
     );
 }
 
+/// The same limit holds for the later requests of a connection.
+#[tokio::test(start_paused = true)]
+async fn peer_that_stops_in_a_later_head_is_closed_in_time() {
+    let (mut peer, _stage, mut events) = connect_with_limit(&ConnectionLimit::new(1)).await;
+    peer.write_all(REQUEST).await.unwrap();
+    accept_submission(&mut events).await;
+    peer.read_exact(&mut [0; 20]).await.expect("the first response");
+    sleep(HEAD_TIMEOUT - Duration::from_millis(100)).await;
+    peer.write_all(&REQUEST[..30]).await.unwrap();
+    let (_, took) = read_until_closed(&mut peer).await;
+    assert!(took < CLOSE_DEADLINE, "closed after {took:?}");
+}
+
 /// The head may take nearly all of its time; the body must not extend the limit.
 #[tokio::test(start_paused = true)]
 async fn peer_with_incomplete_body_gets_a_response_in_time() {
--- a/tests/forwarder/admin.rs
+++ b/tests/forwarder/admin.rs
@@ -66,6 +66,27 @@
     drop(silent_connections);
 }
 
+/// Guards against callers that stop in the body of their request, and keep all connections of the admin server meanwhile.
+#[test]
+fn half_requests_do_not_keep_other_requests_out() {
+    /// The admin server's limit.
+    const MAX_CONNECTIONS: usize = 16;
+    let (_target, _discovery, forwarder) = start_with_one_target(|_| OK);
+    let half_requests: Vec<_> = (0..MAX_CONNECTIONS)
+        .map(|_| {
+            let mut stream = TcpStream::connect(forwarder.admin_address).unwrap();
+            let half = b"POST /-/endpoints/s-1/disable HTTP/1.1\r\nHost: f\r\nContent-Length: 9\r\n\r\nhalf";
+            stream.write_all(half).unwrap();
+            stream
+        })
+        .collect();
+    // The server reads the heads of all of them, and still waits for the rest.
+    std::thread::sleep(MILLIS(150));
+    assert_eq!(status_code(&forwarder.admin_request("GET", "/-/ready")), "200");
+    assert_eq!(metric(&forwarder, "pool_ejected"), 0);
+    drop(half_requests);
+}
+
 #[test]
 fn an_endpoint_stays_disabled_until_it_is_enabled() {
     let (first, second) = (HttpServer::start(|_| OK), HttpServer::start(|_| OK));
