Judge a call by whether its request has begun, and begin it before the pause

Found by reading the pause again, before any of it had landed: the status line of the call before stood until the pause was over, so that a call whose time ended, or that was cancelled, within those 10 ms counted as delivered.

Evidence: a_call_that_ends_in_the_pause_has_not_been_sent got (Ok, completed) before, where nothing had been sent.

Now the exchange begins before the pause, and a call that ends before the first byte of its request was written counts as not sent, whatever ended it. X-Deadline is counted after the pause.

--- a/src/bin/foldtrack/calls.rs
+++ b/src/bin/foldtrack/calls.rs
@@ -123,9 +123,10 @@
                 connection
             }
         };
+        exchange = Some(connection.exchange.clone());
+        connection.prepare().await;
         let body = connection.request_body(&message);
         let request = build_request(&message, body, address, timeout_at).ok_or(Outcome::NotSent)?;
-        exchange = Some(connection.exchange.clone());
         match connection.send(request).await {
             Ok(response) => Ok((connection, response)),
             // A pooled connection that the endpoint has closed, or sent more on, says nothing about its health.
@@ -140,6 +141,7 @@
         () = sleep_until(timeout_at) => Err(None),
         Ok(()) = &mut cancelled => Err(Some(Outcome::Cancelled)),
     };
+    let request_begun = exchange.as_ref().is_some_and(Exchange::request_begun);
     match result {
         Ok((mut connection, response)) => {
             read_response_head(&mut end, &response, reads_limit_reports);
@@ -159,8 +161,10 @@
         Err(_) if exchange.as_ref().is_some_and(Exchange::has_ok_status_line) => {
             (end.outcome, end.completes_message, end.response_truncated) = (Outcome::Ok, true, true);
         }
-        Err(Some(Outcome::Cancelled)) if exchange.is_none() => end.outcome = Outcome::NotSent,
-        Err(None) if exchange.is_none() => end.outcome = Outcome::ConnectFailed,
+        Err(Some(Outcome::Cancelled)) if !request_begun => end.outcome = Outcome::NotSent,
+        // A connection that is up but not used in time says nothing about the endpoint.
+        Err(None) if !request_begun && reused => end.outcome = Outcome::NotSent,
+        Err(None) if !request_begun => end.outcome = Outcome::ConnectFailed,
         Err(None) => end.outcome = Outcome::TimedOut,
         Err(Some(outcome)) => (end.outcome, end.connection) = (outcome, unused_connection),
     }
--- a/src/bin/foldtrack/calls_tests.rs
+++ b/src/bin/foldtrack/calls_tests.rs
@@ -39,8 +39,13 @@
 
 /// Makes a call on a kept connection. Returns its end.
 async fn make_call_on(address: SocketAddr, connection: HttpConnection) -> CallEnd {
+    end_of(call(address, connection)).await
+}
+
+/// Makes a call and returns its end.
+async fn end_of(call: Call) -> CallEnd {
     let ((events, mut receiver), (_cancel, cancelled)) = (events::channel(), oneshot::channel());
-    tokio::spawn(make_call(call(address, connection), cancelled, events));
+    tokio::spawn(make_call(call, cancelled, events));
     loop {
         match receiver.recv().await {
             Some(NodeEvent::CallEnded(end)) => return end,
@@ -99,6 +104,18 @@
     assert!(responds.await.unwrap() - start >= REUSE_PAUSE);
 }
 
+/// Guards against a status line that stays from the call before: a call whose time ends in the pause counted as
+/// delivered.
+#[tokio::test]
+async fn a_call_that_ends_in_the_pause_has_not_been_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (connection, mut endpoint) = kept_connection(&listener).await;
+    let timeout_at = Instant::now();
+    let end = end_of(Call { timeout_at, ..call(listener.local_addr().unwrap(), connection) }).await;
+    assert_eq!((end.outcome, end.completes_message), (Outcome::NotSent, false));
+    assert_eq!(endpoint.read(&mut [0; 1024]).unwrap_or(0), 0, "the message has been sent");
+}
+
 /// A response that brings more is complete: its connection is closed, but it does not count as cut short.
 #[tokio::test]
 async fn a_response_with_more_behind_it_is_complete() {
--- a/src/bin/foldtrack/connection.rs
+++ b/src/bin/foldtrack/connection.rs
@@ -168,14 +168,21 @@
         RequestBody::reported(message.body.clone(), message.class, self.pending_class.clone())
     }
 
-    /// Sends a request, once the connection is rested, and waits for the head of the response.
-    pub async fn send(&mut self, request: Request<RequestBody>) -> Result<Response<Incoming>, SendError> {
+    /// Begins the next exchange, and waits for the end of the pause after the last one.
+    pub async fn prepare(&mut self) {
+        // Before the pause: a call that ends during it must not see the status line of the call before.
+        self.exchange.begin();
         if let Some(rested_at) = self.idle_since.map(|since| since + REUSE_PAUSE) {
             if Instant::now() < rested_at {
                 sleep_until(rested_at).await;
             }
         }
-        self.exchange.begin();
+    }
+
+    /// Sends a request, once the connection is [prepared](HttpConnection::prepare), and waits for the head of the
+    /// response.
+    pub async fn send(&mut self, request: Request<RequestBody>) -> Result<Response<Incoming>, SendError> {
+        self.prepare().await;
         let response = self.sender.try_send_request(request).await;
         response.map_err(|_| match self.exchange.request_begun() {
             true => SendError::ConnectionLost,
