--- a/src/bin/foldtrack/interval_stats.rs
+++ b/src/bin/foldtrack/interval_stats.rs
@@ -9,6 +9,9 @@
 /// Log lines on single undelivered messages per interval.
 const MAX_UNDELIVERED_LINES: u32 = 10;
 
+/// Number of outcomes that are counted apart.
+const OUTCOME_COUNT: usize = 9;
+
 /// Counters since the last interval log line.
 #[derive(Debug, Default)]
 pub(crate) struct IntervalStats {
@@ -25,11 +28,11 @@
     /// Client connections closed since a response stayed unread.
     pub closed_unread: u32,
     /// Calls by outcome, in the order of [`outcome_index`].
-    calls_by_outcome: [u32; 9],
+    calls_by_outcome: [u32; OUTCOME_COUNT],
     /// Responses whose status arrived, but whose rest did not.
     pub truncated_responses: u32,
     /// Total time for which the calls of each outcome held their slots.
-    call_time_by_outcome: [Duration; 9],
+    call_time_by_outcome: [Duration; OUTCOME_COUNT],
     /// Resets on connections that had been idle, the shortest idle time among these, and the longest idle
     /// time after which a call succeeded.
     stale_resets: u32,
@@ -86,7 +89,7 @@
 }
 
 /// Outcomes as named in the line, in the order of [`outcome_index`].
-const OUTCOME_NAMES: [&str; 9] = [
+const OUTCOME_NAMES: [&str; OUTCOME_COUNT] = [
     "ok",
     "error",
     "full",
--- a/src/bin/foldtrack/report_client.rs
+++ b/src/bin/foldtrack/report_client.rs
@@ -168,11 +168,19 @@
         let attempt = async {
             match timeout(report_timeout, post(address, lines.clone(), &idle_connection)).await {
                 Ok(Some(StatusCode::NO_CONTENT)) => return true,
-                Ok(status) => {
-                    eprintln!("report of {count} notices to {address} failed, status {status:?}");
+                Ok(Some(status)) => {
+                    eprintln!(
+                        "reports: {address} has responded {status} to {count} notices; sending them again"
+                    );
                     sleep(REPORT_RETRY_DELAY).await;
                 }
-                Err(_) => eprintln!("report of {count} notices to {address} timed out; sending it again"),
+                Ok(None) => {
+                    eprintln!(
+                        "reports: connection to {address} lost with {count} notices; sending them again"
+                    );
+                    sleep(REPORT_RETRY_DELAY).await;
+                }
+                Err(_) => eprintln!("reports: {address} silent about {count} notices; sending them again"),
             }
             false
         };
