--- a/src/bin/foldtrack/accept_loop.rs
+++ b/src/bin/foldtrack/accept_loop.rs
@@ -20,7 +20,7 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Connections accepted per turn of the event loop; see [`READS_PER_TURN`](crate::client_server::READS_PER_TURN).
-pub(crate) const ACCEPTS_PER_TURN: usize = 2;
+const ACCEPTS_PER_TURN: usize = 2;
 /// Length of the listener's accept queue without overload: the length that the listener is bound with.
 const MAX_ACCEPT_BACKLOG: u32 = 1024;
 
