Wait for the state that the takeover test needs, not for a time

connection_that_waits_at_the_limit_is_answered_after_a_takeover slept 50 ms and then changed the stage; on a machine that holds the test up for so long the connection could still have been unaccepted. It now waits until the connection waits for a place. What it checks is unchanged, and it still fails on the accept loop before the refusals.

--- a/src/bin/foldtrack/accept_loop_tests.rs
+++ b/src/bin/foldtrack/accept_loop_tests.rs
@@ -196,6 +196,7 @@
 /// A server with `limit` active clients, which wait for the responses to the messages that they have submitted.
 struct FullServer {
     address: SocketAddr,
+    connections: ConnectionLimit,
     stage: watch::Sender<LifecycleStage>,
     events: UnboundedReceiver<NodeEvent>,
     clients: Vec<TcpStream>,
@@ -207,12 +208,13 @@
     let address = listener.local_addr().unwrap();
     let (stage, stage_receiver) = watch::channel(LifecycleStage::Serving);
     let (events, mut receiver) = events::channel();
-    tokio::spawn(serve(listener, context(stage_receiver, events), ConnectionLimit::new(limit)));
+    let connections = ConnectionLimit::new(limit);
+    tokio::spawn(serve(listener, context(stage_receiver, events), connections.clone()));
     let (clients, mut submissions) = (clients(address, limit).await, Vec::new());
     for _ in 0..limit {
         submissions.push(receiver.recv().await.expect("a submitted message"));
     }
-    FullServer { address, stage, events: receiver, clients, submissions }
+    FullServer { address, connections, stage, events: receiver, clients, submissions }
 }
 
 /// Reads until the connection ends; a reset counts as its end.
@@ -265,7 +267,12 @@
 async fn connection_that_waits_at_the_limit_is_answered_after_a_takeover() {
     let mut server = start_full_server(1).await;
     let [mut client] = <[_; 1]>::try_from(clients(server.address, 1).await).unwrap();
-    tokio::time::sleep(MAX_CONNECTION_WAIT / 4).await;
+    let waits = async {
+        while server.connections.exhausted_for().is_zero() {
+            sleep(Duration::from_millis(1)).await;
+        }
+    };
+    timeout(10 * CLOSE_DEADLINE, waits).await.expect("the connection is accepted and waits");
     server.stage.send_replace(LifecycleStage::HandedOver);
     let response = read_to_end(&mut client).await;
     assert!(response.starts_with("HTTP/1.1 503"), "{response}");
