Log why connections close and requests are refused, and show the memory of the process

Now the interval log line has resident and peak memory, connections closed by reason and rejected requests by status; single rejections, refusals and failed attempts are logged with their request ids, ten a second of each at most; SIGTERM and the end of the process have a line.

--- a/src/bin/foldtrack/client_server.rs
+++ b/src/bin/foldtrack/client_server.rs
@@ -1,6 +1,7 @@
 //! The HTTP server to which clients submit their messages: serves one accepted connection.
 
 use crate::admission::{AdmissionLimiter, AdmissionWaiter};
+use crate::client_stats::{ClientStats, CloseReason};
 use crate::clock::Clock;
 use crate::connection_limit::ConnectionPermit;
 use crate::events::{EventSender, LifecycleStage, NodeEvent, ResponseGuard, SubmitResponse};
@@ -65,6 +66,7 @@
     pub overload: OverloadMonitor,
     pub read_limiter: AdmissionLimiter,
     pub unread_responses: UnreadResponses,
+    pub client_stats: ClientStats,
 }
 
 /// What a client's socket offers beyond reading and writing.
@@ -188,10 +190,12 @@
     }
 }
 
-/// How a connection ends that the server does not close by itself.
+/// How the exchange on a connection ends.
 enum ConnectionEnd {
     /// The client has closed it, or all that was due on it is done.
     Finished,
+    /// The client has disconnected, or what it sent is not HTTP or exceeds a limit.
+    Invalid(hyper::Error),
     /// The client has left its response unread for too long.
     ResponseUnread,
 }
@@ -257,7 +261,8 @@
         unread_responses: context.unread_responses.clone(),
         waiting: None,
     };
-    let (mut evictable, mut closing) = (true, false);
+    let (mut evictable, mut closing, mut close_reason) = (true, false, CloseReason::Finished);
+    let stats = context.client_stats.clone();
     let mut idle_timer = pin!(sleep(HEAD_TIMEOUT));
     // A request that has arrived is read before the connection is told to close, as it would be cut off
     // without a response.
@@ -266,12 +271,20 @@
             biased;
             // Polled after the connection, so that a response that has just been written is not late.
             end = poll_fn(|cx| match http_connection.poll_without_shutdown(cx) {
-                // Errors are the client's: it has disconnected, or does not speak HTTP.
-                Poll::Ready(_) => Poll::Ready(ConnectionEnd::Finished),
+                Poll::Ready(Ok(())) => Poll::Ready(ConnectionEnd::Finished),
+                Poll::Ready(Err(error)) => Poll::Ready(ConnectionEnd::Invalid(error)),
                 Poll::Pending => response_timer.poll_expired(cx).map(|()| ConnectionEnd::ResponseUnread),
             }) => match end {
-                ConnectionEnd::Finished => break,
+                ConnectionEnd::Finished => {
+                    stats.record_close(close_reason);
+                    break;
+                }
+                ConnectionEnd::Invalid(error) => {
+                    stats.record_invalid_request(&error);
+                    break;
+                }
                 ConnectionEnd::ResponseUnread => {
+                    stats.record_close(CloseReason::ResponseUnread);
                     context.events.send(NodeEvent::ResponseUnread);
                     return;
                 }
@@ -279,19 +292,23 @@
             signal = &mut evicted, if evictable => {
                 evictable = false;
                 if signal.is_ok() && !permit.decline_eviction() {
+                    stats.record_close(CloseReason::Evicted);
                     return;
                 }
             }
             () = &mut idle_timer, if !closing => match state.progress().check_idle() {
                 IdleCheck::RecheckAt(at) => idle_timer.as_mut().reset(at),
                 IdleCheck::CloseIdle => {
-                    closing = true;
+                    (closing, close_reason) = (true, CloseReason::Idle);
                     Pin::new(&mut http_connection).graceful_shutdown();
                 }
-                IdleCheck::NoRequest => break,
+                IdleCheck::NoRequest => {
+                    stats.record_close(CloseReason::NoRequest);
+                    break;
+                }
             },
             () = &mut close_stage, if !closing => {
-                closing = true;
+                (closing, close_reason) = (true, CloseReason::Terminating);
                 // The response to a request that has begun to arrive closes the connection.
                 let RequestProgress { request_started, read_pending, .. } = *state.progress();
                 if !request_started && !read_pending {
@@ -304,6 +321,7 @@
     // A message whose response was not written is not accepted: dropping the guard reports that.
     let client_gone = std::mem::take(&mut *state.progress()).client_gone;
     if client_gone {
+        context.client_stats.record_close(CloseReason::ClientGone);
         streams::refuse_unread(client).await;
     } else {
         streams::lingering_close(client).await;
@@ -324,7 +342,14 @@
     state.progress().head_received = true;
     let mut response = match (request.method(), request.uri().path()) {
         (&Method::GET, "/healthz") => empty_response(StatusCode::OK),
-        _ => submit(request, context, permit, state).await.unwrap_or_else(empty_response),
+        _ => {
+            let id = request.headers().get("X-Request-Id").cloned();
+            submit(request, context, permit, state).await.unwrap_or_else(|status| {
+                let id = id.as_ref().and_then(|id| id.to_str().ok());
+                context.client_stats.record_rejection(status, id);
+                empty_response(status)
+            })
+        }
     };
     // A peer that does not speak the protocol does not keep its connection either.
     if *context.stage.borrow() != LifecycleStage::Serving || response.status().is_client_error() {
--- a/src/bin/foldtrack/client_server_tests.rs
+++ b/src/bin/foldtrack/client_server_tests.rs
@@ -45,6 +45,7 @@
         overload,
         read_limiter: AdmissionLimiter::new(READS_PER_TURN),
         unread_responses: UnreadResponses::default(),
+        client_stats: ClientStats::default(),
     })
 }
 
--- /dev/null
+++ b/src/bin/foldtrack/client_stats.rs
@@ -0,0 +1,114 @@
+//! Counts why client connections were closed and why requests were rejected before they reached the node. The first
+//! rejections of an interval are logged one by one.
+
+use hyper::StatusCode;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// Log lines on single rejections and invalid requests per interval.
+const MAX_LINES: u32 = 10;
+
+/// Why a client connection was closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum CloseReason {
+    /// The client closed it, or it ended after a response that said so.
+    Finished,
+    /// What the client sent is not HTTP, exceeds a limit, or broke off.
+    InvalidRequest,
+    /// No whole request head arrived in time.
+    NoRequest,
+    /// It was idle for as long as idle connections are kept.
+    Idle,
+    /// It made room for another connection.
+    Evicted,
+    /// The client left a response unread.
+    ResponseUnread,
+    /// The client had disconnected before its request was read.
+    ClientGone,
+    /// The process is terminating.
+    Terminating,
+}
+
+impl CloseReason {
+    fn name(self) -> &'static str {
+        match self {
+            CloseReason::Finished => "finished",
+            CloseReason::InvalidRequest => "invalid request",
+            CloseReason::NoRequest => "no request",
+            CloseReason::Idle => "idle",
+            CloseReason::Evicted => "evicted",
+            CloseReason::ResponseUnread => "response unread",
+            CloseReason::ClientGone => "client gone",
+            CloseReason::Terminating => "terminating",
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    closes: BTreeMap<CloseReason, u32>,
+    rejections: BTreeMap<u16, u32>,
+    lines: u32,
+}
+
+/// The counts of the current interval, shared by all client connections.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ClientStats(Arc<Mutex<Counts>>);
+
+impl ClientStats {
+    fn counts(&self) -> MutexGuard<'_, Counts> {
+        // After a panic elsewhere at worst one count is missing.
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts a closed connection.
+    pub fn record_close(&self, reason: CloseReason) {
+        *self.counts().closes.entry(reason).or_default() += 1;
+    }
+
+    /// Counts a connection that is closed because of what its client sent.
+    pub fn record_invalid_request(&self, error: &hyper::Error) {
+        self.record_close(CloseReason::InvalidRequest);
+        if self.takes_line() {
+            eprintln!("clients: connection closed: {error}");
+        }
+    }
+
+    /// Counts a request that is rejected with this status. Its id is logged if it has one.
+    pub fn record_rejection(&self, status: StatusCode, id: Option<&str>) {
+        *self.counts().rejections.entry(status.as_u16()).or_default() += 1;
+        if self.takes_line() {
+            eprintln!("request {}: rejected with {status}", id.unwrap_or("without id"));
+        }
+    }
+
+    fn takes_line(&self) -> bool {
+        let mut counts = self.counts();
+        counts.lines += 1;
+        counts.lines <= MAX_LINES
+    }
+
+    /// Renders the counts and resets them; empty if nothing has been counted.
+    pub fn take_text(&self) -> String {
+        let Counts { closes, rejections, .. } = std::mem::take(&mut *self.counts());
+        let mut text = String::new();
+        if !closes.is_empty() {
+            text.push_str("; connections closed:");
+            for (reason, count) in closes {
+                let _ = write!(text, " {} {count},", reason.name());
+            }
+        }
+        if !rejections.is_empty() {
+            text.push_str("; requests rejected:");
+            for (status, count) in rejections {
+                let _ = write!(text, " {status} {count},");
+            }
+        }
+        text
+    }
+}
+
+#[cfg(test)]
+#[path = "client_stats_tests.rs"]
+mod tests;
--- a/src/bin/foldtrack/draining.rs
+++ b/src/bin/foldtrack/draining.rs
@@ -8,6 +8,7 @@
     SubmitResponse,
 };
 use crate::hot_restart::{encode_frame, frame_length};
+use crate::memory_usage::MemoryUsage;
 use crate::message::Message;
 use crate::metrics::{MessageResult, Metrics};
 use crate::write_ahead_log::AcceptedMessage;
@@ -321,9 +322,10 @@
             NodeEvent::RefusedLate { class } => self.metrics.record_result(class, MessageResult::Shed),
             NodeEvent::Admin { request, reply } => {
                 let _ = reply.send(match request {
-                    AdminRequest::Metrics => {
-                        AdminResponse::new(StatusCode::OK, self.metrics.render(0, self.endpoint_counts))
-                    }
+                    AdminRequest::Metrics => AdminResponse::new(
+                        StatusCode::OK,
+                        self.metrics.render(0, self.endpoint_counts, MemoryUsage::read()),
+                    ),
                     _ => {
                         AdminResponse::new(StatusCode::SERVICE_UNAVAILABLE, "a new version has taken over\n")
                     }
@@ -376,7 +378,7 @@
             exit_within: Duration::ZERO,
         };
         process.handle_event(NodeEvent::RefusedLate { class: 0 }, &mpsc::unbounded_channel().0);
-        let text = process.metrics.render(0, process.endpoint_counts);
+        let text = process.metrics.render(0, process.endpoint_counts, MemoryUsage::default());
         assert!(text.contains("responses.note.shed=1"), "{text}");
     }
 }
--- a/src/bin/foldtrack/interval_stats.rs
+++ b/src/bin/foldtrack/interval_stats.rs
@@ -1,13 +1,18 @@
 //! The interval log line, written at most once a second: how messages and calls have ended since the last
 //! one, how much is held and in flight, and how far the event loop and the notices lag behind.
 
+use crate::memory_usage::MemoryUsage;
 use crate::write_ahead_log::NonDeliveryNotice;
 use hatchline::{Micros, Outcome};
 use std::fmt::Write;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Log lines on single undelivered messages per interval.
 const MAX_UNDELIVERED_LINES: u32 = 10;
+/// Log lines on single refused messages, and on single failed attempts, per interval.
+const MAX_REFUSAL_LINES: u32 = 10;
+const MAX_ATTEMPT_LINES: u32 = 10;
 
 /// Number of outcomes that are counted apart.
 const OUTCOME_COUNT: usize = 9;
@@ -16,7 +21,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct IntervalStats {
     pub accepted: u32,
-    pub refused: u32,
+    refused: u32,
+    failed_attempts: u32,
     /// Refused before the policy decided, since their requests had waited too long to be read.
     pub refused_late: u32,
     handed_back: u32,
@@ -43,6 +49,30 @@
     pub longest_round: Micros,
 }
 
+/// Why a submitted message was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RefusalReason {
+    /// As many messages are held as the settings allow.
+    TooManyHeld,
+    /// The write-ahead log has no space left for it.
+    NoLogSpace,
+    /// It could not be written to the write-ahead log.
+    LogFailed,
+    /// The policy refused it.
+    Policy,
+}
+
+impl RefusalReason {
+    fn text(self) -> &'static str {
+        match self {
+            RefusalReason::TooManyHeld => "too many messages are held",
+            RefusalReason::NoLogSpace => "no space in the write-ahead log",
+            RefusalReason::LogFailed => "it cannot be recorded",
+            RefusalReason::Policy => "by the policy",
+        }
+    }
+}
+
 /// What has become of the restored messages that had no attempt yet and whose deadlines had not passed.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct RecoveryStats {
@@ -86,6 +116,9 @@
     pub unread_responses: usize,
     /// How long no client connection has been free.
     pub no_free_connection_for: Duration,
+    pub memory: MemoryUsage,
+    /// What [`ClientStats`](crate::client_stats::ClientStats) has counted, as text.
+    pub client_stats: String,
 }
 
 /// Outcomes as named in the line, in the order of [`outcome_index`].
@@ -132,6 +165,24 @@
         }
     }
 
+    /// Counts a message that is refused when submitted. Returns a log line for it, up to [`MAX_REFUSAL_LINES`] per
+    /// interval.
+    pub fn record_refusal(&mut self, id: &str, reason: RefusalReason) -> Option<String> {
+        self.refused += 1;
+        let below_limit = self.refused <= MAX_REFUSAL_LINES;
+        below_limit.then(|| format!("message {id}: refused: {}", reason.text()))
+    }
+
+    /// A log line on an attempt that did not deliver its message, up to [`MAX_ATTEMPT_LINES`] per interval.
+    pub fn failed_attempt_line(
+        &mut self, id: &str, attempt: u32, endpoint: SocketAddr, outcome: Outcome,
+    ) -> Option<String> {
+        self.failed_attempts += 1;
+        let below_limit = self.failed_attempts <= MAX_ATTEMPT_LINES;
+        let outcome = OUTCOME_NAMES[outcome_index(outcome)];
+        below_limit.then(|| format!("message {id}: attempt {} at {endpoint}: {outcome}", attempt + 1))
+    }
+
     /// Counts an accepted message that ends by a notice; `left` is the time to its deadline in microseconds,
     /// negative after the deadline. Returns a log line for it, up to [`MAX_UNDELIVERED_LINES`] per interval.
     pub fn record_undelivered(
@@ -165,7 +216,8 @@
         let nothing_waits = gauges.held_messages == 0
             && gauges.pending_notices == 0
             && gauges.unread_responses == 0
-            && gauges.no_free_connection_for.is_zero();
+            && gauges.no_free_connection_for.is_zero()
+            && gauges.client_stats.is_empty();
         if idle && nothing_waits {
             return None;
         }
@@ -189,7 +241,7 @@
         let _ = write!(
             text,
             " cut short {}, dialled {}, stale {} (idle for {:?} or more, sound to {:?}); held {} waiting {} calls out {} \
-             idle connections {} notices {}; of {} found untried at the start {} given up with no call; longest round {} us, turn of the last second {} us; clients {}, of them {} read no response, closed for that {}, none free for {} ms, refused for that {}",
+             idle connections {} notices {}; of {} found untried at the start {} given up with no call; longest round {} us, turn of the last second {} us; clients {}, of them {} read no response, closed for that {}, none free for {} ms, refused for that {}; memory {} KB, at most {} KB{}",
             stats.truncated_responses,
             stats.connections_opened,
             stats.stale_resets,
@@ -208,77 +260,15 @@
             gauges.unread_responses,
             stats.closed_unread,
             gauges.no_free_connection_for.as_millis(),
-            stats.connections_refused
+            stats.connections_refused,
+            gauges.memory.resident / 1000,
+            gauges.memory.peak / 1000,
+            gauges.client_stats
         );
         Some(text)
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn line_covers_one_interval_and_is_omitted_when_idle() {
-        let quiet = Gauges {
-            recovery: RecoveryStats::default(),
-            held_messages: 0,
-            pending_sends: 0,
-            calls_in_flight: 0,
-            idle_connections: 3,
-            pending_notices: 0,
-            event_loop_lag: Duration::ZERO,
-            client_connections: 0,
-            unread_responses: 0,
-            no_free_connection_for: Duration::ZERO,
-        };
-        let mut interval_stats = IntervalStats { accepted: 2, ..IntervalStats::default() };
-        interval_stats.record_call(Outcome::Reset, Duration::from_millis(30), None);
-        interval_stats.record_call(
-            Outcome::Reset,
-            Duration::from_millis(5),
-            Some(Duration::from_millis(700)),
-        );
-        let line = interval_stats.take_line(&quiet).expect("something happened");
-        assert!(
-            line.contains("taken 2")
-                && line.contains("reset 2 (35 ms),")
-                && line.contains("stale 1 (idle for 700ms")
-                && !line.contains("ok "),
-            "{line}"
-        );
-        assert_eq!(interval_stats.take_line(&quiet), None);
-        let stuck = Gauges { held_messages: 1, ..quiet };
-        assert!(interval_stats.take_line(&stuck).is_some_and(|l| l.contains("held 1")));
-        let exhausted = Gauges { no_free_connection_for: Duration::from_millis(300), ..quiet };
-        let line = interval_stats.take_line(&exhausted);
-        assert!(line.is_some_and(|l| l.contains("none free for 300 ms")), "new clients are kept out");
-    }
-
-    #[test]
-    fn undelivered_messages_are_logged_up_to_a_limit() {
-        let mut interval_stats = IntervalStats::default();
-        let lines: Vec<_> = (0..50)
-            .filter_map(|_| interval_stats.record_undelivered("m1", NonDeliveryNotice::GivenUp, 2, 3_000))
-            .collect();
-        assert_eq!(lines.len(), MAX_UNDELIVERED_LINES as usize);
-        assert_eq!(lines[0], "message m1: given up after 2 attempts, 3000 us before its time");
-        let quiet = Gauges {
-            recovery: RecoveryStats::default(),
-            held_messages: 0,
-            pending_sends: 0,
-            calls_in_flight: 0,
-            idle_connections: 0,
-            pending_notices: 0,
-            event_loop_lag: Duration::ZERO,
-            client_connections: 0,
-            unread_responses: 0,
-            no_free_connection_for: Duration::ZERO,
-        };
-        let line = interval_stats.take_line(&quiet);
-        assert!(line.is_some_and(|l| l.contains("given up 50")));
-        assert!(interval_stats
-            .record_undelivered("m2", NonDeliveryNotice::HandedBack { retry_in_ms: 0 }, 0, 0)
-            .is_some());
-    }
-}
+#[path = "interval_stats_tests.rs"]
+mod tests;
--- a/src/bin/foldtrack/main.rs
+++ b/src/bin/foldtrack/main.rs
@@ -7,6 +7,7 @@
 mod admission;
 mod calls;
 mod client_server;
+mod client_stats;
 mod clock;
 mod config;
 mod connection;
@@ -19,6 +20,7 @@
 mod exchange;
 mod hot_restart;
 mod interval_stats;
+mod memory_usage;
 mod message;
 mod metrics;
 mod node;
@@ -88,7 +90,10 @@
         runtime.map_err(|e| e.to_string())?.block_on(run(config))
     });
     match result {
-        Ok(ExitReason::Completed) => ExitCode::SUCCESS,
+        Ok(ExitReason::Completed) => {
+            eprintln!("foldtrack: terminated");
+            ExitCode::SUCCESS
+        }
         Ok(ExitReason::SuccessorLost) => restart_process(),
         Err(error) => {
             eprintln!("foldtrack: {error}");
--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -10,6 +10,7 @@
 use crate::admission::AdmissionLimiter;
 use crate::calls::{self, Call, IdleConnectionPool};
 use crate::client_server::{self, ServerContext};
+use crate::client_stats::ClientStats;
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::connection_limit::ConnectionLimit;
@@ -22,7 +23,8 @@
     SubmitResponse,
 };
 use crate::hot_restart::{self, LogLock, StartMode};
-use crate::interval_stats::{Gauges, IntervalStats, RecoveryStats};
+use crate::interval_stats::{Gauges, IntervalStats, RecoveryStats, RefusalReason};
+use crate::memory_usage::MemoryUsage;
 use crate::message::{order_key_hash, Message};
 use crate::metrics::{MessageResult, Metrics};
 use crate::overload::OverloadMonitor;
@@ -172,6 +174,7 @@
     successor: Option<UnixStream>,
     connection_limit: ConnectionLimit,
     unread_responses: UnreadResponses,
+    client_stats: ClientStats,
     overload: OverloadMonitor,
     /// Actions that the policy has requested in this round.
     actions: Vec<Action>,
@@ -218,7 +221,7 @@
     let (settings, clock, stage) = (node.settings.clone(), node.clock, node.stage.subscribe());
     let (overload, read_limiter) =
         (node.overload.clone(), AdmissionLimiter::new(client_server::READS_PER_TURN));
-    let unread_responses = node.unread_responses.clone();
+    let (unread_responses, client_stats) = (node.unread_responses.clone(), node.client_stats.clone());
     let context = ServerContext {
         settings,
         clock,
@@ -227,6 +230,7 @@
         overload,
         read_limiter,
         unread_responses,
+        client_stats,
     };
     let accept_task =
         tokio::spawn(accept_loop::serve(listener, Arc::new(context), node.connection_limit.clone()));
@@ -307,6 +311,7 @@
             successor: None,
             connection_limit: ConnectionLimit::new(config.max_sockets / 2),
             unread_responses: UnreadResponses::default(),
+            client_stats: ClientStats::default(),
             overload: OverloadMonitor::default(),
             actions: Vec::new(),
         };
@@ -369,6 +374,8 @@
                 client_connections: self.connection_limit.in_use(),
                 unread_responses: self.unread_responses.count(),
                 no_free_connection_for: self.connection_limit.exhausted_for(),
+                memory: MemoryUsage::read(),
+                client_stats: self.client_stats.take_text(),
             });
             line.into_iter().for_each(|line| eprintln!("{line}"));
         }
@@ -412,6 +419,7 @@
             NodeEvent::Successor(stream) => self.successor = Some(stream),
             NodeEvent::Terminate => {
                 if self.terminated_at.is_none() {
+                    eprintln!("foldtrack: told to terminate");
                     self.terminated_at = Some(Instant::now());
                     self.stage.send_replace(LifecycleStage::Draining);
                     let exit_at = self.clock.now() + TERMINATE_TIMEOUT.as_micros() as Micros;
@@ -466,7 +474,7 @@
             }
             AdminRequest::Metrics => AdminResponse::new(
                 StatusCode::OK,
-                self.metrics.render(self.messages.len(), self.policy.endpoint_counts()),
+                self.metrics.render(self.messages.len(), self.policy.endpoint_counts(), MemoryUsage::read()),
             ),
             AdminRequest::Disable(name) => self.set_disabled(&name, true),
             AdminRequest::Enable(name) => self.set_disabled(&name, false),
@@ -541,7 +549,8 @@
     fn submit(&mut self, message: Arc<Message>, reply: oneshot::Sender<SubmitResponse>) {
         let full = self.messages.len() >= self.settings.settings.max_held as usize;
         if full || !self.write_ahead_log.has_space_for(message.log_bytes()) {
-            self.interval_stats.refused += 1;
+            let reason = if full { RefusalReason::TooManyHeld } else { RefusalReason::NoLogSpace };
+            self.log_refusal(&message.id, reason);
             self.metrics.record_result(message.class, MessageResult::Shed);
             let retry_in_ms = self.policy.retry_after(message.destination).div_ceil(1000);
             let _ = reply.send(SubmitResponse::Refused { retry_in_ms });
@@ -581,7 +590,9 @@
             };
             let accepted = LogRecord::Accepted(held.message.to_accepted(&self.settings, &self.clock));
             if let Err(error) = self.write_ahead_log.append(number, &accepted) {
-                eprintln!("journal: message refused, as it cannot be recorded: {error}");
+                eprintln!("journal: cannot record a message: {error}");
+                let id = held.message.id.clone();
+                self.log_refusal(&id, RefusalReason::LogFailed);
                 let _ = reply.send(SubmitResponse::Refused { retry_in_ms: 0 });
                 self.discard_unaccepted(number);
                 continue;
@@ -752,6 +763,7 @@
     }
 
     fn call_ended(&mut self, end: CallEnd) {
+        self.log_failed_attempt(&end);
         let started = self.calls.remove(&(end.number, end.attempt)).is_some_and(|call| call.started);
         self.interval_stats.record_call(end.outcome, end.started_at.elapsed(), end.idle_for);
         self.interval_stats.truncated_responses += u32::from(end.response_truncated);
@@ -788,6 +800,17 @@
         });
     }
 
+    /// Logs an attempt that did not deliver its message: the reason of the retry or of the end that follows.
+    fn log_failed_attempt(&mut self, end: &CallEnd) {
+        let Some(held) = self.messages.get(&end.number).filter(|_| end.outcome != Outcome::Ok) else {
+            return;
+        };
+        let address = self.endpoints[end.target as usize].address;
+        let line =
+            self.interval_stats.failed_attempt_line(&held.message.id, end.attempt, address, end.outcome);
+        line.into_iter().for_each(|line| eprintln!("{line}"));
+    }
+
     /// Appends a record whose loss can be tolerated: an error is only logged. Without the record, a restart
     /// assumes that an attempt may have run where it did not.
     fn append_record(&mut self, number: u64, record: &LogRecord) {
@@ -804,7 +827,7 @@
             self.metrics.record_result(class, MessageResult::Shed);
             let retry_in_ms =
                 if let NonDeliveryNotice::HandedBack { retry_in_ms } = notice { retry_in_ms } else { 0 };
-            self.interval_stats.refused += 1;
+            self.log_refusal(&held.message.id, RefusalReason::Policy);
             let _ = reply.send(SubmitResponse::Refused { retry_in_ms });
             return;
         }
@@ -825,6 +848,11 @@
         self.unsent_notices.insert(number);
     }
 
+    fn log_refusal(&mut self, id: &str, reason: RefusalReason) {
+        let line = self.interval_stats.record_refusal(id, reason);
+        line.into_iter().for_each(|line| eprintln!("{line}"));
+    }
+
     fn send_notices(&mut self) {
         while !self.unsent_notices.is_empty() && self.report_client.has_capacity() {
             let numbers: Vec<u64> =
