--- /dev/null
+++ b/tests/forwarder/client_memory.rs
@@ -0,0 +1,142 @@
+//! Memory of the forwarder while hundreds of peers send requests that they do not complete. The limit is the least memory
+//! that a deployment gives a forwarder, with the most descriptors.
+
+use crate::crowd::{Crowd, Script};
+use crate::harness::*;
+use crate::MILLIS;
+use std::io::Write;
+use std::net::TcpListener;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread::{self, sleep};
+use std::time::{Duration, Instant};
+
+const MEMORY_MB: u64 = 32;
+const DESCRIPTORS: u64 = 1024;
+/// Nearly the half of the descriptors that clients may hold.
+const PEERS: usize = 500;
+/// Longer than any peer may keep its connection.
+const CROWD_TIME: Duration = Duration::from_secs(4);
+
+fn start_with_little_memory() -> (Arc<HttpServer>, DiscoveryServer, Forwarder) {
+    let target = HttpServer::start(|_| OK);
+    let discovery = DiscoveryServer::start(vec![list_entry("s-1", target.address, 1, "active")]);
+    let forwarder = Forwarder::start_with(&discovery, |config| {
+        config["limits"]["memory_mb"] = MEMORY_MB.into();
+        config["limits"]["sockets"] = DESCRIPTORS.into();
+    });
+    (target, discovery, forwarder)
+}
+
+fn assert_within_memory_limit(forwarder: &mut Forwarder) {
+    assert!(forwarder.is_running());
+    let peak = forwarder.peak_memory();
+    println!("peak memory: {peak} bytes");
+    assert!(peak <= MEMORY_MB * 1_000_000, "{peak} bytes of memory, {MEMORY_MB} MB allowed");
+}
+
+/// The head of a request whose body has this length.
+fn head(body_bytes: usize) -> Vec<u8> {
+    let message = fee_message("unfinished").with_body(vec![0; body_bytes]).bytes();
+    message[..message.len() - body_bytes].to_vec()
+}
+
+/// Runs a crowd that follows the script, and submits messages beside it: each gets its answer.
+fn assert_crowd_is_harmless(script: Script) {
+    let (target, discovery, mut forwarder) = start_with_little_memory();
+    let crowd = Crowd::start(forwarder.listen_address, PEERS, script);
+    let end = Instant::now() + CROWD_TIME;
+    let mut accepted = Vec::new();
+    for n in 0.. {
+        let id = format!("m{n}");
+        let status = forwarder.submit(&fee_message(&id));
+        assert!([202, 503].contains(&status), "{id}: {status}");
+        accepted.extend((status == 202).then_some(id));
+        if Instant::now() >= end {
+            break;
+        }
+        sleep(MILLIS(50));
+    }
+    drop(crowd);
+    assert_within_memory_limit(&mut forwarder);
+    wait_until("what was accepted has ended", || has_ended(&accepted, &target, &discovery));
+}
+
+#[test]
+fn bodies_in_small_pieces_stay_within_the_memory_limit() {
+    assert_crowd_is_harmless(Script { start: head(60_000), piece: b"x".into(), pieces: 60_000 });
+}
+
+#[test]
+fn bodies_that_stop_half_way_stay_within_the_memory_limit() {
+    let start = [head(64 * 1024), vec![b'x'; 60_000]].concat();
+    assert_crowd_is_harmless(Script { start, piece: Vec::new(), pieces: 0 });
+}
+
+#[test]
+fn heads_that_do_not_end_stay_within_the_memory_limit() {
+    let start = [b"POST /fee HTTP/1.1\r\nX-Long: ".to_vec(), vec![b'x'; 60_000]].concat();
+    assert_crowd_is_harmless(Script { start, piece: Vec::new(), pieces: 0 });
+}
+
+#[test]
+fn heads_of_very_many_fields_stay_within_the_memory_limit() {
+    let fields: String = (0..8_000).map(|n| format!("a{n}:\r\n")).collect();
+    let start = [b"POST /fee HTTP/1.1\r\n", fields.as_bytes()].concat();
+    assert_crowd_is_harmless(Script { start, piece: Vec::new(), pieces: 0 });
+}
+
+/// The head is complete with as many fields as are taken, and the body arrives in pieces.
+#[test]
+fn bodies_behind_heads_of_many_fields_stay_within_the_memory_limit() {
+    let fields: String = (0..90).map(|n| format!("a{n}: b\r\n")).collect();
+    let message = String::from_utf8(head(60_000)).unwrap();
+    let start = message.replacen("\r\n", &format!("\r\n{fields}"), 1).into_bytes();
+    assert_crowd_is_harmless(Script { start, piece: b"x".into(), pieces: 60_000 });
+}
+
+#[test]
+fn admin_requests_in_small_pieces_stay_within_the_memory_limit() {
+    /// The admin server's limit on connections.
+    const CALLERS: usize = 16;
+    let (_target, _discovery, mut forwarder) = start_with_little_memory();
+    let start = b"POST /-/endpoints/s-1/disable HTTP/1.1\r\nHost: f\r\nContent-Length: 4000\r\n\r\n".to_vec();
+    let script = Script { start, piece: b"x".into(), pieces: 4_000 };
+    let crowd = Crowd::start(forwarder.admin_address, CALLERS, script);
+    sleep(CROWD_TIME);
+    drop(crowd);
+    assert_within_memory_limit(&mut forwarder);
+}
+
+/// A discovery server that sends its list a byte at a time, faster than a reply times out.
+#[test]
+fn lists_in_small_pieces_stay_within_the_memory_limit() {
+    const LIST_BYTES: usize = 1 << 20;
+    let target = HttpServer::start(|_| OK);
+    let discovery = DiscoveryServer::start(vec![list_entry("s-1", target.address, 1, "active")]);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let slow_address = listener.local_addr().unwrap();
+    let stop = Arc::new(AtomicBool::new(false));
+    let stopped = stop.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (mut stream, stopped) = (stream.unwrap(), stopped.clone());
+            thread::spawn(move || {
+                let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {LIST_BYTES}\r\n\r\n");
+                stream.set_nodelay(true).unwrap();
+                let mut open = stream.write_all(head.as_bytes()).is_ok();
+                while open && !stopped.load(Ordering::Relaxed) {
+                    open = stream.write_all(b" ").is_ok();
+                    sleep(Duration::from_micros(50));
+                }
+            });
+        }
+    });
+    let mut forwarder = Forwarder::start_with(&discovery, |config| {
+        config["limits"]["memory_mb"] = MEMORY_MB.into();
+        config["discovery"] = slow_address.to_string().into();
+    });
+    sleep(CROWD_TIME);
+    stop.store(true, Ordering::Relaxed);
+    assert_within_memory_limit(&mut forwarder);
+}
--- a/tests/forwarder/harness.rs
+++ b/tests/forwarder/harness.rs
@@ -2,7 +2,7 @@
 
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use serde_json::{json, Value};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -199,7 +199,7 @@
 
     /// The message ids of the requests received so far, in order.
     pub fn message_ids(&self) -> Vec<String> {
-        self.requests().iter().map(|request| request.message_id().to_string()).collect()
+        self.requests.lock().unwrap().iter().map(|request| request.message_id().to_string()).collect()
     }
 }
 
@@ -282,6 +282,13 @@
     }
 }
 
+/// Whether each message has reached the target, or has a notice that it ended undelivered.
+pub fn has_ended(ids: &[String], target: &HttpServer, discovery: &DiscoveryServer) -> bool {
+    let called = target.message_ids().into_iter();
+    let ended: BTreeSet<_> = called.chain(discovery.notices().into_iter().map(|(id, _)| id)).collect();
+    ids.iter().all(|id| ended.contains(id))
+}
+
 /// The forwarder as a child process, with its configuration and state. It keeps its client address across restarts.
 pub struct Forwarder {
     /// Where clients connect.
@@ -450,6 +457,13 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.process.id())).unwrap().count()
     }
 
+    /// The most memory that the process has had resident, in bytes.
+    pub fn peak_memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.process.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        line.split_whitespace().next().unwrap().parse::<u64>().unwrap() * 1024
+    }
+
     pub fn connect(&self) -> ClientConnection {
         let stream = TcpStream::connect(self.listen_address).unwrap();
         stream.set_read_timeout(Some(WAIT_LIMIT)).unwrap();
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -2,6 +2,9 @@
 //! failures.
 
 mod admin;
+mod client_flood;
+mod client_memory;
+mod crowd;
 mod edge_cases;
 mod excess_responses;
 mod harness;
