Ask discovery for the next change once the last list is in force and saved

What callers saw: a list that discovery knew to have arrived could be lost by a kill in the same moment; the restarted process then sent new work to an endpoint that was draining, while discovery was silent.

Cause: the discovery client asked for the next change as soon as it had passed the list to the node, which saves it a moment later. Lists that came faster than they were handled queued up without a limit, too.

--- a/src/bin/foldtrack/discovery_client.rs
+++ b/src/bin/foldtrack/discovery_client.rs
@@ -10,7 +10,12 @@
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST};
 use hyper::{Request, Response};
+use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{ready, Poll};
+use tokio::sync::oneshot;
 
 /// Longest body of a reply.
 const MAX_LIST_BYTES: usize = 4 << 20;
@@ -19,20 +24,58 @@
 pub(crate) fn build_client(
     settings: &Settings, events: EventSender,
 ) -> Client<HttpTransport, impl FnMut(DiscoveryEvent) + Send> {
+    let unhandled_list = UnhandledList::default();
+    let transport = HttpTransport { connection: None, unhandled_list: unhandled_list.clone() };
     let on_event = move |event| match event {
-        DiscoveryEvent::List(list) => events.send(NodeEvent::List(list)),
+        DiscoveryEvent::List(list) => {
+            let (_handled, handled) = oneshot::channel();
+            unhandled_list.set(handled);
+            events.send(NodeEvent::List { list, _handled })
+        }
         DiscoveryEvent::InvalidReply { status, error } => {
             let reason = error.map_or_else(|| "unexpected status".to_string(), |error| error.to_string());
             eprintln!("discovery: invalid reply with status {status}: {reason}");
         }
     };
-    Client::new(HttpTransport::default(), on_event, ClientOptions::from(settings), fastrand::Rng::new())
+    Client::new(transport, on_event, ClientOptions::from(settings), fastrand::Rng::new())
 }
 
-/// Transport over one HTTP connection.
+/// The list that the node has not handled yet, if there is one.
+#[derive(Clone, Debug, Default)]
+struct UnhandledList(Arc<Mutex<Option<oneshot::Receiver<()>>>>);
+
+impl UnhandledList {
+    fn slot(&self) -> MutexGuard<'_, Option<oneshot::Receiver<()>>> {
+        // Each change is an assignment: a panic elsewhere leaves it consistent.
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn set(&self, handled: oneshot::Receiver<()>) {
+        *self.slot() = Some(handled);
+    }
+
+    /// Waits until the node has handled it. The list stays unhandled if this is dropped before.
+    async fn wait(&self) {
+        poll_fn(|cx| {
+            let mut unhandled = self.slot();
+            if let Some(handled) = unhandled.as_mut() {
+                // Only the end of the channel is awaited.
+                let _ = ready!(Pin::new(handled).poll(cx));
+            }
+            *unhandled = None;
+            Poll::Ready(())
+        })
+        .await
+    }
+}
+
+/// Transport over one HTTP connection. The request that tells discovery that a list has arrived waits until the node has
+/// handled the list: a kill after that request must not bring back the list before, and lists that come faster than they
+/// are handled must not queue up.
 #[derive(Debug, Default)]
 pub(crate) struct HttpTransport {
     connection: Option<HttpConnection>,
+    unhandled_list: UnhandledList,
 }
 
 impl HttpTransport {
@@ -58,6 +101,7 @@
     async fn exchange(
         &mut self, address: SocketAddr, request: &ListRequest,
     ) -> Result<Reply, TransportError> {
+        self.unhandled_list.wait().await;
         let (mut connection, response) = self.send(address, request).await?;
         let (status, closes) = (response.status(), closes_connection(&response));
         let body = connection.read_body(response.into_body(), MAX_LIST_BYTES).await;
@@ -86,3 +130,7 @@
     let connection = response.headers().get(CONNECTION);
     connection.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
 }
+
+#[cfg(test)]
+#[path = "discovery_client_tests.rs"]
+mod tests;
--- a/src/bin/foldtrack/events.rs
+++ b/src/bin/foldtrack/events.rs
@@ -87,7 +87,12 @@
     /// A client connection was closed since its client had left a response unread for too long.
     ResponseUnread,
     CallEnded(CallEnd),
-    List(ServerList),
+    /// An endpoint list from discovery.
+    List {
+        list: ServerList,
+        /// Dropped once the list is in force and outlasts the process.
+        _handled: oneshot::Sender<()>,
+    },
     /// Discovery has acknowledged the notices of these messages.
     NoticesAcknowledged {
         numbers: Vec<u64>,
