Release the buffer of each piece of a body as it arrives

What callers saw: a process passed its memory limit while hundreds of clients wrote slowly; likewise under slow operators and a slow discovery.

Cause: a body was collected as its pieces, and each piece refers to the whole buffer that it was read into, 8 KiB at least. A body that arrives byte by byte held 8 KiB a byte until it was complete or timed out. The class of the fault: memory that a peer pays for in bytes and the forwarder in buffers. All four readers of bodies did so: client requests, admin requests, responses of endpoints and discovery, acknowledgements of reports.

--- a/src/bin/foldtrack/admin_server.rs
+++ b/src/bin/foldtrack/admin_server.rs
@@ -3,9 +3,10 @@
 
 use crate::connection_limit::{ConnectionLimit, ConnectionPermit};
 use crate::events::{AdminRequest, AdminResponse, EventSender, NodeEvent};
+use crate::http_body::{read_to_end, BodyError};
 use crate::streams;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, ALLOW, CONTENT_TYPE};
 use hyper::server::conn::http1;
@@ -150,10 +151,10 @@
     if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
         return Err(StatusCode::PAYLOAD_TOO_LARGE);
     }
-    match timeout(REQUEST_TIMEOUT, Limited::new(body, MAX_BODY_BYTES).collect()).await {
+    match timeout(REQUEST_TIMEOUT, read_to_end(body, MAX_BODY_BYTES)).await {
         Ok(Ok(_)) => Ok(()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
-        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
+        Ok(Err(BodyError::TooLong)) => Err(StatusCode::PAYLOAD_TOO_LARGE),
+        Ok(Err(BodyError::Interrupted)) => Err(StatusCode::BAD_REQUEST),
         Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
     }
 }
--- a/src/bin/foldtrack/client_server.rs
+++ b/src/bin/foldtrack/client_server.rs
@@ -51,6 +51,8 @@
 /// A client that leaves its response unread for this long has given up, as it waits only
 /// [`CLIENT_RESPONSE_TIMEOUT`], or does not speak the protocol.
 const RESPONSE_WRITE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Ids are as long as a client makes them.
+const MAX_LOGGED_ID_CHARACTERS: usize = 64;
 /// Delay between the `Closing` stage and the close of a connection.
 const CLOSE_DELAY: Duration = Duration::from_millis(50);
 /// Requests read per turn of the event loop: with the connections accepted, about 1 ms of work. Even with 1% of a
@@ -343,10 +345,9 @@
     let mut response = match (request.method(), request.uri().path()) {
         (&Method::GET, "/healthz") => empty_response(StatusCode::OK),
         _ => {
-            let id = request.headers().get("X-Request-Id").cloned();
+            let id = request_id(&request);
             submit(request, context, permit, state).await.unwrap_or_else(|status| {
-                let id = id.as_ref().and_then(|id| id.to_str().ok());
-                context.client_stats.record_rejection(status, id);
+                context.client_stats.record_rejection(status, id.as_deref());
                 empty_response(status)
             })
         }
@@ -359,6 +360,12 @@
     response
 }
 
+/// The start of a request's id, for the log.
+fn request_id(request: &Request<Incoming>) -> Option<String> {
+    let id = request.headers().get("X-Request-Id")?.to_str().ok()?;
+    Some(id.chars().take(MAX_LOGGED_ID_CHARACTERS).collect())
+}
+
 /// A 503 response, with a Retry-After unless that is 0.
 fn refusal_response(retry_in_ms: u64) -> Response<Full<Bytes>> {
     let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
--- a/src/bin/foldtrack/connection.rs
+++ b/src/bin/foldtrack/connection.rs
@@ -2,10 +2,10 @@
 //! written completely.
 
 use crate::exchange::Exchange;
+use crate::http_body::read_to_end;
 use crate::message::Message;
 use crate::streams::{ObservedStream, StreamObserver};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
@@ -192,7 +192,7 @@
 
     /// Reads a response body to its end.
     pub async fn read_body(&mut self, body: Incoming, limit: usize) -> Option<Bytes> {
-        Some(Limited::new(body, limit).collect().await.ok()?.to_bytes())
+        read_to_end(body, limit).await.ok()
     }
 
     /// Waits until the connection is ready for the next request. Returns false if it is closed: the peer has closed it,
--- a/src/bin/foldtrack/main.rs
+++ b/src/bin/foldtrack/main.rs
@@ -19,6 +19,7 @@
 mod events;
 mod exchange;
 mod hot_restart;
+mod http_body;
 mod interval_stats;
 mod memory_usage;
 mod message;
--- a/src/bin/foldtrack/report_client.rs
+++ b/src/bin/foldtrack/report_client.rs
@@ -1,9 +1,10 @@
 //! Reports undelivered messages to discovery, until each notice is acknowledged.
 
 use crate::exchange::Exchange;
+use crate::http_body::read_to_end;
 use crate::streams::ObservedStream;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{Request, StatusCode};
@@ -58,7 +59,7 @@
         exchange.begin();
         let call = async {
             let (head, body) = sender.send_request(request).await.ok()?.into_parts();
-            let complete = Limited::new(body, MAX_RESPONSE_BYTES).collect().await.is_ok();
+            let complete = read_to_end(body, MAX_RESPONSE_BYTES).await.is_ok();
             Some((head.status, complete && sender.ready().await.is_ok()))
         };
         let mut call = pin!(call);
--- a/src/bin/foldtrack/submission.rs
+++ b/src/bin/foldtrack/submission.rs
@@ -1,9 +1,9 @@
 //! Reads the request that submits a message: its class, headers and body.
 
 use crate::client_server::ServerContext;
+use crate::http_body::{read_to_end, BodyError};
 use crate::message::Message;
 use hatchline::{Micros, RetrySafety};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::CONTENT_LENGTH;
 use hyper::{Method, Request, StatusCode};
@@ -62,12 +62,11 @@
     if request.body().size_hint().lower() > MAX_BODY_BYTES as u64 {
         return Err(StatusCode::PAYLOAD_TOO_LARGE);
     }
-    let body = timeout(BODY_TIMEOUT, Limited::new(request.into_body(), MAX_BODY_BYTES).collect()).await;
-    let body = match body.map_err(|_| StatusCode::REQUEST_TIMEOUT)? {
-        Ok(body) => body.to_bytes(),
-        Err(e) if e.is::<http_body_util::LengthLimitError>() => return Err(StatusCode::PAYLOAD_TOO_LARGE),
-        Err(_) => return Err(BAD_REQUEST),
-    };
+    let body = timeout(BODY_TIMEOUT, read_to_end(request.into_body(), MAX_BODY_BYTES)).await;
+    let body = body.map_err(|_| StatusCode::REQUEST_TIMEOUT)?.map_err(|error| match error {
+        BodyError::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+        BodyError::Interrupted => BAD_REQUEST,
+    })?;
     let expires_at = sent_at.checked_add(time_left).ok_or(BAD_REQUEST)?;
     Ok(Message { id, class, destination, order_key, idempotency_key, retry_header, expires_at, body })
 }
