--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -2,11 +2,9 @@
 //! failures.
 
 mod admin;
-mod client_flood;
-mod client_memory;
-mod crowd;
 mod edge_cases;
 mod excess_responses;
+#[path = "../harness/mod.rs"]
 mod harness;
 mod hot_restart;
 mod unread_responses;
--- a/tests/forwarder/harness.rs
+++ b/tests/harness/mod.rs
@@ -1,4 +1,6 @@
-//! Test harness: HTTP servers on loopback in place of targets and discovery, and the forwarder as a child process.
+//! Test harness: HTTP servers on loopback in place of targets and discovery, and the forwarder as a child process. Each
+//! test binary uses a part of it.
+#![allow(dead_code)]
 
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use serde_json::{json, Value};
--- a/tests/forwarder/client_flood.rs
+++ b/tests/peers/client_flood.rs
@@ -1,7 +1,6 @@
 //! One client that sends at full speed on one connection, beside clients that wait for their answers.
 
 use crate::harness::*;
-use crate::{start_with_one_target, MILLIS};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -73,7 +72,10 @@
 
 /// Runs the client beside others, whose messages get their answers and end.
 fn assert_flood_is_harmless(request: impl Fn(u64) -> Vec<u8> + Send + 'static) {
-    let (target, discovery, mut forwarder) = start_with_one_target(|_| OK);
+    let _lock = crate::lock();
+    let target = HttpServer::start(|_| OK);
+    let discovery = DiscoveryServer::start(vec![list_entry("s-1", target.address, 1, "active")]);
+    let mut forwarder = Forwarder::start(&discovery);
     let flood = FloodClient::start(forwarder.listen_address, request);
     let end = Instant::now() + FLOOD_TIME;
     let mut accepted = Vec::new();
@@ -85,7 +87,7 @@
         if Instant::now() >= end {
             break;
         }
-        sleep(MILLIS(20));
+        sleep(Duration::from_millis(20));
     }
     let sent = flood.finish();
     assert!(sent > 1_000, "{sent} requests are no flood");
--- a/tests/forwarder/client_memory.rs
+++ b/tests/peers/client_memory.rs
@@ -3,7 +3,6 @@
 
 use crate::crowd::{Crowd, Script};
 use crate::harness::*;
-use crate::MILLIS;
 use std::io::Write;
 use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -43,6 +42,7 @@
 
 /// Runs a crowd that follows the script, and submits messages beside it: each gets its answer.
 fn assert_crowd_is_harmless(script: Script) {
+    let _lock = crate::lock();
     let (target, discovery, mut forwarder) = start_with_little_memory();
     let crowd = Crowd::start(forwarder.listen_address, PEERS, script);
     let end = Instant::now() + CROWD_TIME;
@@ -55,7 +55,7 @@
         if Instant::now() >= end {
             break;
         }
-        sleep(MILLIS(50));
+        sleep(Duration::from_millis(50));
     }
     drop(crowd);
     assert_within_memory_limit(&mut forwarder);
@@ -99,6 +99,7 @@
 fn admin_requests_in_small_pieces_stay_within_the_memory_limit() {
     /// The admin server's limit on connections.
     const CALLERS: usize = 16;
+    let _lock = crate::lock();
     let (_target, _discovery, mut forwarder) = start_with_little_memory();
     let start = b"POST /-/endpoints/s-1/disable HTTP/1.1\r\nHost: f\r\nContent-Length: 4000\r\n\r\n".to_vec();
     let script = Script { start, piece: b"x".into(), pieces: 4_000 };
@@ -112,6 +113,7 @@
 #[test]
 fn lists_in_small_pieces_stay_within_the_memory_limit() {
     const LIST_BYTES: usize = 1 << 20;
+    let _lock = crate::lock();
     let target = HttpServer::start(|_| OK);
     let discovery = DiscoveryServer::start(vec![list_entry("s-1", target.address, 1, "active")]);
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
