Bound the memory of clients, bodies, idle connections and the log by memory_mb

Cause: the memory limit of the settings was not read anywhere. Connections were bounded by descriptors alone and each could buffer 64 KiB of a head and 64 KiB of a body: 512 of them take 64 MB. The log of accepted messages was bounded by disk alone, idle connections to endpoints by descriptors alone. The class of the fault: a resource of the settings from which no bound is derived.

Why it works: all that peers can make the process hold has a share of memory_mb. A body reserves memory as it arrives; where none is left, the oldest body is given up with 503, so that one that arrives without pauses is served. Heads have 16 KiB, as their connection's buffer. The queue of eviction candidates is shared by connections and bodies.

--- a/src/bin/foldtrack/admin_server.rs
+++ b/src/bin/foldtrack/admin_server.rs
@@ -3,7 +3,7 @@
 
 use crate::connection_limit::{ConnectionLimit, ConnectionPermit};
 use crate::events::{AdminRequest, AdminResponse, EventSender, NodeEvent};
-use crate::http_body::{read_to_end, BodyError};
+use crate::http_body::{read_to_end, BodyError, Unshared};
 use crate::streams;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -151,10 +151,11 @@
     if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
         return Err(StatusCode::PAYLOAD_TOO_LARGE);
     }
-    match timeout(REQUEST_TIMEOUT, read_to_end(body, MAX_BODY_BYTES)).await {
+    match timeout(REQUEST_TIMEOUT, read_to_end(body, MAX_BODY_BYTES, &mut Unshared)).await {
         Ok(Ok(_)) => Ok(()),
         Ok(Err(BodyError::TooLong)) => Err(StatusCode::PAYLOAD_TOO_LARGE),
         Ok(Err(BodyError::Interrupted)) => Err(StatusCode::BAD_REQUEST),
+        Ok(Err(BodyError::OutOfMemory)) => Err(StatusCode::SERVICE_UNAVAILABLE),
         Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
     }
 }
--- a/src/bin/foldtrack/client_server.rs
+++ b/src/bin/foldtrack/client_server.rs
@@ -1,13 +1,14 @@
 //! The HTTP server to which clients submit their messages: serves one accepted connection.
 
 use crate::admission::{AdmissionLimiter, AdmissionWaiter};
+use crate::body_memory::BodyMemory;
 use crate::client_stats::{ClientStats, CloseReason};
 use crate::clock::Clock;
 use crate::connection_limit::ConnectionPermit;
 use crate::events::{EventSender, LifecycleStage, NodeEvent, ResponseGuard, SubmitResponse};
 use crate::overload::OverloadMonitor;
 use crate::streams::{self, has_poll_events, ObservedStream, StreamObserver};
-use crate::submission::{read_message, BODY_TIMEOUT};
+use crate::submission::{read_message, ReceivedMessage, BODY_TIMEOUT};
 use crate::unread_responses::{UnreadResponse, UnreadResponses};
 use bytes::Bytes;
 use hatchline::settings::DeploymentSettings;
@@ -32,8 +33,8 @@
 use tokio::sync::{oneshot, watch};
 use tokio::time::{sleep, sleep_until, Instant, Sleep};
 
-/// Upper bound on the bytes that a connection buffers.
-const MAX_BUFFER_BYTES: usize = 64 * 1024;
+/// Upper bound on the bytes that a connection buffers, and so on the head of a request.
+const MAX_BUFFER_BYTES: usize = 16 * 1024;
 /// Time within which a new connection has to send a whole request head, and after which an idle connection is
 /// closed. Idle clients must be kept for 2 s, and a peer that does not speak the protocol must be closed
 /// within 3 s of connecting, the time for a body included.
@@ -69,6 +70,7 @@
     pub read_limiter: AdmissionLimiter,
     pub unread_responses: UnreadResponses,
     pub client_stats: ClientStats,
+    pub body_memory: BodyMemory,
 }
 
 /// What a client's socket offers beyond reading and writing.
@@ -342,18 +344,19 @@
     request: Request<Incoming>, context: &ServerContext, permit: &ConnectionPermit, state: &ConnectionState,
 ) -> Response<Full<Bytes>> {
     state.progress().head_received = true;
-    let mut response = match (request.method(), request.uri().path()) {
-        (&Method::GET, "/healthz") => empty_response(StatusCode::OK),
+    let answer = match (request.method(), request.uri().path()) {
+        (&Method::GET, "/healthz") => Ok(empty_response(StatusCode::OK)),
         _ => {
             let id = request_id(&request);
-            submit(request, context, permit, state).await.unwrap_or_else(|status| {
-                context.client_stats.record_rejection(status, id.as_deref());
-                empty_response(status)
-            })
+            let answer = submit(request, context, permit, state).await;
+            answer.inspect_err(|status| context.client_stats.record_rejection(*status, id.as_deref()))
         }
     };
-    // A peer that does not speak the protocol does not keep its connection either.
-    if *context.stage.borrow() != LifecycleStage::Serving || response.status().is_client_error() {
+    // A peer that does not speak the protocol does not keep its connection either, and of one whose body was given up
+    // the rest would be read.
+    let rejected = answer.is_err();
+    let mut response = answer.unwrap_or_else(empty_response);
+    if *context.stage.borrow() != LifecycleStage::Serving || rejected {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     state.progress().response_ready_at = Some(Instant::now());
@@ -376,12 +379,14 @@
     response
 }
 
-/// Submits a message to the node and waits for its response.
+/// Submits a message to the node and waits for its response. An error is the status of a request that is not a message, or
+/// that could not be read whole.
 async fn submit(
     request: Request<Incoming>, context: &ServerContext, permit: &ConnectionPermit, state: &ConnectionState,
 ) -> Result<Response<Full<Bytes>>, StatusCode> {
     let queue_time = state.progress().queue_time;
-    let message = read_message(request, context, queue_time).await?;
+    let ReceivedMessage { message, reservation: _reservation } =
+        read_message(request, context, queue_time).await?;
     permit.mark_active();
     if state.progress().too_late {
         context.events.send(NodeEvent::RefusedLate { class: message.class });
@@ -401,7 +406,7 @@
             Ok(empty_response(StatusCode::ACCEPTED))
         }
         Ok(SubmitResponse::Refused { retry_in_ms }) => Ok(refusal_response(retry_in_ms)),
-        Err(_) => Err(StatusCode::SERVICE_UNAVAILABLE),
+        Err(_) => Ok(refusal_response(0)),
     }
 }
 
--- a/src/bin/foldtrack/client_server_tests.rs
+++ b/src/bin/foldtrack/client_server_tests.rs
@@ -46,6 +46,7 @@
         read_limiter: AdmissionLimiter::new(READS_PER_TURN),
         unread_responses: UnreadResponses::default(),
         client_stats: ClientStats::default(),
+        body_memory: BodyMemory::new(1 << 20),
     })
 }
 
--- a/src/bin/foldtrack/config.rs
+++ b/src/bin/foldtrack/config.rs
@@ -24,6 +24,8 @@
     pub max_sockets: usize,
     /// Bytes that the files in the state directory may take up.
     pub disk_bytes: u64,
+    /// Memory that the process may take up, in bytes.
+    pub memory_bytes: u64,
     /// Endpoint list to start with.
     pub known_endpoints: ServerList,
     pub settings: Arc<DeploymentSettings>,
@@ -46,6 +48,22 @@
 struct Limits {
     sockets: usize,
     disk_mb: f64,
+    #[serde(default = "least_memory_mb")]
+    memory_mb: f64,
+}
+
+/// The least memory that a deployment gives a forwarder, in units of 1,000,000 bytes.
+fn least_memory_mb() -> f64 {
+    32.0
+}
+
+/// Bytes of a size in units of 1,000,000 bytes, if it is positive.
+fn bytes_of_mb(name: &str, size_mb: f64) -> Result<u64, String> {
+    let bytes = size_mb * 1e6;
+    if bytes.is_finite() && bytes > 0.0 {
+        return Ok(bytes as u64);
+    }
+    Err(format!("{name} is not a positive size"))
 }
 
 fn required_variable(name: &str) -> Result<String, String> {
@@ -77,10 +95,9 @@
         // The protocol has no call with several messages. The messages of a batch would go out as one call each, all
         // at once, on the slot and the rate limit share of a single message.
         file.settings.settings.batch_by_kind.clear();
-        let disk_bytes = file.limits.disk_mb * 1e6;
-        if !(disk_bytes.is_finite() && disk_bytes > 0.0) {
-            return Err(format!("{path}: limits.disk_mb is not a positive size"));
-        }
+        let in_file = |error| format!("{path}: {error}");
+        let disk_bytes = bytes_of_mb("limits.disk_mb", file.limits.disk_mb).map_err(in_file)?;
+        let memory_bytes = bytes_of_mb("limits.memory_mb", file.limits.memory_mb).map_err(in_file)?;
         if file.settings.settings.classes.is_empty() || file.settings.settings.slots == 0 {
             return Err(format!("{path}: settings need at least one class and one slot"));
         }
@@ -93,7 +110,8 @@
             seed: u64::from_str_radix(&file.seed, 16)
                 .map_err(|e| format!("{path}: seed {:?}: {e}", file.seed))?,
             max_sockets: file.limits.sockets,
-            disk_bytes: disk_bytes as u64,
+            disk_bytes,
+            memory_bytes,
             known_endpoints: endpoint_list_cache::load_newest(&state_directory, file.known),
             state_directory,
             settings: Arc::new(file.settings),
--- a/src/bin/foldtrack/connection_limit.rs
+++ b/src/bin/foldtrack/connection_limit.rs
@@ -1,8 +1,8 @@
 //! Limits the open connections of one listener. Any peer may connect: unless silent connections are closed to
 //! make room, they would keep other clients waiting to be accepted.
 
+use crate::eviction::{EvictionQueue, EvictionTicket};
 use crate::streams;
-use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -10,29 +10,14 @@
 use tokio::sync::{oneshot, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{timeout_at, Instant};
 
-/// Connections that have not sent a request yet, in the order of their arrival, and the signals that close
-/// them.
-#[derive(Default)]
-struct EvictionCandidates {
-    next_number: u64,
-    close_signals: BTreeMap<u64, oneshot::Sender<()>>,
-}
-
 /// A value shared by a listener's connections.
 type Shared<T> = Arc<Mutex<T>>;
 
 fn lock<T>(shared: &Shared<T>) -> MutexGuard<'_, T> {
-    // Each change is an assignment or a single call on the map, so a panic elsewhere leaves it consistent.
+    // Each change is an assignment, so a panic elsewhere leaves it consistent.
     shared.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Closes the connection that has been silent for longest. Returns whether there was one.
-fn evict_oldest(candidates: &Shared<EvictionCandidates>) -> bool {
-    let oldest = lock(candidates).close_signals.pop_first();
-    // If the connection has just ended by itself, that makes room too.
-    oldest.map(|(_, close_signal)| close_signal.send(())).is_some()
-}
-
 /// Connections that may be refused at a time. Each holds a file descriptor beyond the limit.
 pub(crate) const MAX_REFUSALS: usize = 8;
 
@@ -42,7 +27,8 @@
     semaphore: Arc<Semaphore>,
     refusals: Arc<Semaphore>,
     limit: usize,
-    candidates: Shared<EvictionCandidates>,
+    /// Connections that have not sent a request yet.
+    silent: EvictionQueue,
     /// Since when no connection has been free.
     exhausted_since: Shared<Option<Instant>>,
 }
@@ -50,8 +36,8 @@
 /// One open connection, counted until this is dropped. Until the connection is active it may be evicted to
 /// make room for a new one.
 pub(crate) struct ConnectionPermit {
-    number: u64,
-    candidates: Shared<EvictionCandidates>,
+    silent: EvictionQueue,
+    ticket: EvictionTicket,
     active: AtomicBool,
     _permit: OwnedSemaphorePermit,
 }
@@ -62,7 +48,7 @@
             semaphore: Arc::new(Semaphore::new(limit)),
             refusals: Arc::new(Semaphore::new(MAX_REFUSALS)),
             limit,
-            candidates: Shared::default(),
+            silent: EvictionQueue::default(),
             exhausted_since: Shared::default(),
         }
     }
@@ -105,7 +91,7 @@
             Ok(permit) => permit,
             Err(_) => {
                 let now = Instant::now();
-                let evicted = evict_oldest(&self.candidates);
+                let evicted = self.silent.evict_oldest();
                 let exhausted_since = *lock(&self.exhausted_since).get_or_insert(now);
                 let wait_from = if evicted { now } else { exhausted_since };
                 let acquired = timeout_at(wait_from + max_wait, self.semaphore.clone().acquire_owned()).await;
@@ -113,20 +99,14 @@
             }
         };
         *lock(&self.exhausted_since) = None;
-        let (close_signal, evicted) = oneshot::channel();
-        let mut candidates = lock(&self.candidates);
-        let number = candidates.next_number;
-        candidates.next_number += 1;
-        candidates.close_signals.insert(number, close_signal);
-        Some((
-            ConnectionPermit {
-                number,
-                candidates: self.candidates.clone(),
-                active: AtomicBool::new(false),
-                _permit: permit,
-            },
-            evicted,
-        ))
+        let (ticket, evicted) = self.silent.enter();
+        let permit = ConnectionPermit {
+            silent: self.silent.clone(),
+            ticket,
+            active: AtomicBool::new(false),
+            _permit: permit,
+        };
+        Some((permit, evicted))
     }
 }
 
@@ -134,7 +114,7 @@
     /// Protects the connection from eviction, since it has sent a request.
     pub fn mark_active(&self) {
         self.active.store(true, Ordering::Relaxed);
-        lock(&self.candidates).close_signals.remove(&self.number);
+        self.ticket.leave();
     }
 
     /// Called by a connection that is told to close. If it has become active meanwhile, the next candidate is
@@ -142,14 +122,8 @@
     pub fn decline_eviction(&self) -> bool {
         let active = self.active.load(Ordering::Relaxed);
         if active {
-            evict_oldest(&self.candidates);
+            self.silent.evict_oldest();
         }
         active
     }
 }
-
-impl Drop for ConnectionPermit {
-    fn drop(&mut self) {
-        self.mark_active();
-    }
-}
--- a/src/bin/foldtrack/http_body_tests.rs
+++ b/src/bin/foldtrack/http_body_tests.rs
@@ -55,13 +55,13 @@
 async fn pieces_hold_no_buffers() {
     let (buffered, most_buffered) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
     let body = BytewiseBody { pieces: 1000, buffered, most_buffered: most_buffered.clone() };
-    assert_eq!(read_to_end(body, 1000).await, Ok(vec![7; 1000].into()));
+    assert_eq!(read_to_end(body, 1000, &mut Unshared).await, Ok(vec![7; 1000].into()));
     assert!(most_buffered.load(Ordering::Relaxed) <= 2 * BUFFER_BYTES);
 }
 
 #[tokio::test]
 async fn bodies_beyond_the_limit_are_refused() {
     let body = || BytewiseBody { pieces: 5, buffered: Arc::default(), most_buffered: Arc::default() };
-    assert_eq!(read_to_end(body(), 5).await, Ok(vec![7; 5].into()));
-    assert_eq!(read_to_end(body(), 4).await, Err(BodyError::TooLong));
+    assert_eq!(read_to_end(body(), 5, &mut Unshared).await, Ok(vec![7; 5].into()));
+    assert_eq!(read_to_end(body(), 4, &mut Unshared).await, Err(BodyError::TooLong));
 }
--- a/src/bin/foldtrack/interval_stats.rs
+++ b/src/bin/foldtrack/interval_stats.rs
@@ -117,6 +117,10 @@
     /// How long no client connection has been free.
     pub no_free_connection_for: Duration,
     pub memory: MemoryUsage,
+    /// Memory that the process may take up, in bytes.
+    pub memory_limit: u64,
+    /// Memory of request bodies that are being received, in bytes.
+    pub body_bytes: usize,
     /// What [`ClientStats`](crate::client_stats::ClientStats) has counted, as text.
     pub client_stats: String,
 }
@@ -241,7 +245,7 @@
         let _ = write!(
             text,
             " cut short {}, dialled {}, stale {} (idle for {:?} or more, sound to {:?}); held {} waiting {} calls out {} \
-             idle connections {} notices {}; of {} found untried at the start {} given up with no call; longest round {} us, turn of the last second {} us; clients {}, of them {} read no response, closed for that {}, none free for {} ms, refused for that {}; memory {} KB, at most {} KB{}",
+             idle connections {} notices {}; of {} found untried at the start {} given up with no call; longest round {} us, turn of the last second {} us; clients {}, of them {} read no response, closed for that {}, none free for {} ms, refused for that {}; memory {} KB, at most {} of {} KB, bodies {} KB{}",
             stats.truncated_responses,
             stats.connections_opened,
             stats.stale_resets,
@@ -263,6 +267,8 @@
             stats.connections_refused,
             gauges.memory.resident / 1000,
             gauges.memory.peak / 1000,
+            gauges.memory_limit / 1000,
+            gauges.body_bytes / 1000,
             gauges.client_stats
         );
         Some(text)
--- a/src/bin/foldtrack/interval_stats_tests.rs
+++ b/src/bin/foldtrack/interval_stats_tests.rs
@@ -15,6 +15,8 @@
         unread_responses: 0,
         no_free_connection_for: Duration::ZERO,
         memory: MemoryUsage::default(),
+        memory_limit: 0,
+        body_bytes: 0,
         client_stats: String::new(),
     }
 }
--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -8,6 +8,7 @@
 use crate::accept_loop;
 use crate::admin_server;
 use crate::admission::AdmissionLimiter;
+use crate::body_memory::BodyMemory;
 use crate::calls::{self, Call, IdleConnectionPool};
 use crate::client_server::{self, ServerContext};
 use crate::client_stats::ClientStats;
@@ -24,6 +25,7 @@
 };
 use crate::hot_restart::{self, LogLock, StartMode};
 use crate::interval_stats::{Gauges, IntervalStats, RecoveryStats, RefusalReason};
+use crate::memory_plan::MemoryPlan;
 use crate::memory_usage::MemoryUsage;
 use crate::message::{order_key_hash, Message};
 use crate::metrics::{MessageResult, Metrics};
@@ -175,6 +177,9 @@
     connection_limit: ConnectionLimit,
     unread_responses: UnreadResponses,
     client_stats: ClientStats,
+    body_memory: BodyMemory,
+    /// Memory that the process may take up, in bytes.
+    memory_limit: u64,
     overload: OverloadMonitor,
     /// Actions that the policy has requested in this round.
     actions: Vec<Action>,
@@ -222,6 +227,7 @@
     let (overload, read_limiter) =
         (node.overload.clone(), AdmissionLimiter::new(client_server::READS_PER_TURN));
     let (unread_responses, client_stats) = (node.unread_responses.clone(), node.client_stats.clone());
+    let body_memory = node.body_memory.clone();
     let context = ServerContext {
         settings,
         clock,
@@ -231,6 +237,7 @@
         read_limiter,
         unread_responses,
         client_stats,
+        body_memory,
     };
     let accept_task =
         tokio::spawn(accept_loop::serve(listener, Arc::new(context), node.connection_limit.clone()));
@@ -272,9 +279,11 @@
         config: &Config, events: &EventSender, clock: Clock, policy: DeliveryPolicy,
     ) -> io::Result<(Node, BTreeMap<u64, RestoredMessage>)> {
         let settings = &config.settings.settings;
+        let memory = MemoryPlan::new(config.memory_bytes);
         let max_log_bytes = config.disk_bytes.saturating_sub(
             disabled_endpoints::RESERVED_BYTES + endpoint_list_cache::reserved_bytes(&config.known_endpoints),
         );
+        let max_log_bytes = max_log_bytes.min(memory.write_ahead_log_bytes);
         let (write_ahead_log, restored) =
             WriteAheadLog::open(&config.state_directory, max_log_bytes, settings.max_attempts)?;
         let discovery_address = watch::Sender::new(config.discovery_address);
@@ -293,7 +302,10 @@
             pending_notices: BTreeMap::new(),
             unsent_notices: BTreeSet::new(),
             calls: BTreeMap::new(),
-            idle_connections: IdleConnectionPool::new(idle_timeout, config.max_sockets / 4),
+            idle_connections: IdleConnectionPool::new(
+                idle_timeout,
+                memory.idle_connections.min(config.max_sockets / 4),
+            ),
             last_maintenance: Instant::now(),
             interval_stats: IntervalStats::default(),
             recovery_stats: RecoveryStats::default(),
@@ -309,9 +321,11 @@
             lock: None,
             listener: None,
             successor: None,
-            connection_limit: ConnectionLimit::new(config.max_sockets / 2),
+            connection_limit: ConnectionLimit::new(memory.client_connections.min(config.max_sockets / 2)),
             unread_responses: UnreadResponses::default(),
             client_stats: ClientStats::default(),
+            body_memory: BodyMemory::new(memory.body_bytes),
+            memory_limit: config.memory_bytes,
             overload: OverloadMonitor::default(),
             actions: Vec::new(),
         };
@@ -375,6 +389,8 @@
                 unread_responses: self.unread_responses.count(),
                 no_free_connection_for: self.connection_limit.exhausted_for(),
                 memory: MemoryUsage::read(),
+                memory_limit: self.memory_limit,
+                body_bytes: self.body_memory.reserved(),
                 client_stats: self.client_stats.take_text(),
             });
             line.into_iter().for_each(|line| eprintln!("{line}"));
--- a/src/bin/foldtrack/report_client.rs
+++ b/src/bin/foldtrack/report_client.rs
@@ -1,7 +1,7 @@
 //! Reports undelivered messages to discovery, until each notice is acknowledged.
 
 use crate::exchange::Exchange;
-use crate::http_body::read_to_end;
+use crate::http_body::{read_to_end, Unshared};
 use crate::streams::ObservedStream;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -59,7 +59,7 @@
         exchange.begin();
         let call = async {
             let (head, body) = sender.send_request(request).await.ok()?.into_parts();
-            let complete = read_to_end(body, MAX_RESPONSE_BYTES).await.is_ok();
+            let complete = read_to_end(body, MAX_RESPONSE_BYTES, &mut Unshared).await.is_ok();
             Some((head.status, complete && sender.ready().await.is_ok()))
         };
         let mut call = pin!(call);
--- a/src/bin/foldtrack/streams.rs
+++ b/src/bin/foldtrack/streams.rs
@@ -106,7 +106,7 @@
         return;
     }
     let discard_rest = async {
-        let (mut buffer, mut discarded) = ([0; 4096], 0);
+        let (mut buffer, mut discarded) = (vec![0; 4096], 0);
         while let Ok(n @ 1..) = stream.read(&mut buffer).await {
             discarded += n;
             if discarded > MAX_LINGER_BYTES {
--- a/src/bin/foldtrack/submission.rs
+++ b/src/bin/foldtrack/submission.rs
@@ -1,5 +1,6 @@
 //! Reads the request that submits a message: its class, headers and body.
 
+use crate::body_memory::BodyReservation;
 use crate::client_server::ServerContext;
 use crate::http_body::{read_to_end, BodyError};
 use crate::message::Message;
@@ -17,10 +18,16 @@
 /// 400 ms for its response.
 pub(crate) const BODY_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// A message that a client has sent, and the memory of its body until the node has it.
+pub(crate) struct ReceivedMessage {
+    pub message: Message,
+    pub reservation: BodyReservation,
+}
+
 /// Reads a request into a message, or returns the status of the response that refuses it.
 pub(crate) async fn read_message(
     request: Request<Incoming>, context: &ServerContext, queue_time: Duration,
-) -> Result<Message, StatusCode> {
+) -> Result<ReceivedMessage, StatusCode> {
     const BAD_REQUEST: StatusCode = StatusCode::BAD_REQUEST;
     // The client's time counts from when it sent the request: the arrival of the body and the wait to be read
     // are part of it.
@@ -62,13 +69,19 @@
     if request.body().size_hint().lower() > MAX_BODY_BYTES as u64 {
         return Err(StatusCode::PAYLOAD_TOO_LARGE);
     }
-    let body = timeout(BODY_TIMEOUT, read_to_end(request.into_body(), MAX_BODY_BYTES)).await;
+    let mut reservation = context.body_memory.begin_body();
+    let body = read_to_end(request.into_body(), MAX_BODY_BYTES, &mut reservation);
+    let body = timeout(BODY_TIMEOUT, body).await;
     let body = body.map_err(|_| StatusCode::REQUEST_TIMEOUT)?.map_err(|error| match error {
         BodyError::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
         BodyError::Interrupted => BAD_REQUEST,
+        BodyError::OutOfMemory => StatusCode::SERVICE_UNAVAILABLE,
     })?;
+    reservation.complete();
     let expires_at = sent_at.checked_add(time_left).ok_or(BAD_REQUEST)?;
-    Ok(Message { id, class, destination, order_key, idempotency_key, retry_header, expires_at, body })
+    let message =
+        Message { id, class, destination, order_key, idempotency_key, retry_header, expires_at, body };
+    Ok(ReceivedMessage { message, reservation })
 }
 
 /// Parses a duration of a number and a unit: `480m` for milliseconds, `900u` for microseconds.
