Reproduce that a log which cannot be written ends or stops the process

With standard error on a full disk, or a pipe whose reader has gone, the process ends with status 101 (panic: failed printing to stderr) at the second log line; with a pipe that nobody reads it answers nothing once the pipe is full.

--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -7,6 +7,7 @@
 #[path = "../harness/mod.rs"]
 mod harness;
 mod hot_restart;
+mod log_output;
 mod unread_responses;
 
 use harness::*;
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -8,7 +8,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
@@ -365,16 +365,33 @@
         self.wait_until_ready();
     }
 
+    /// Restarts the forwarder with another standard error.
+    pub fn restart_with_log(&mut self, log: Stdio) {
+        self.kill();
+        let command = Command::new(env!("CARGO_BIN_EXE_foldtrack"));
+        self.process = Forwarder::spawn_with_log(command, &self.directory, log);
+        self.wait_until_ready();
+    }
+
+    /// The reading end of a log that is [piped](Stdio::piped).
+    pub fn take_log(&mut self) -> ChildStderr {
+        self.process.stderr.take().unwrap()
+    }
+
     fn spawn(directory: &TempDir) -> Child {
         Forwarder::spawn_with(Command::new(env!("CARGO_BIN_EXE_foldtrack")), directory)
     }
 
-    fn spawn_with(mut command: Command, directory: &TempDir) -> Child {
+    fn spawn_with(command: Command, directory: &TempDir) -> Child {
+        Forwarder::spawn_with_log(command, directory, Stdio::inherit())
+    }
+
+    fn spawn_with_log(mut command: Command, directory: &TempDir, log: Stdio) -> Child {
         command
             .env_clear()
             .env("BALANCER_CONFIG", directory.path().join("config.json"))
             .env("BALANCER_STATE", directory.path().join("state"))
-            .stderr(Stdio::inherit())
+            .stderr(log)
             .spawn()
             .unwrap()
     }
