--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -328,10 +328,15 @@
 /// A free address that nothing else uses: each call returns a loopback IP address of its own, made from the process
 /// id and a counter.
 fn unique_address() -> SocketAddr {
-    static NEXT_HOST: AtomicUsize = AtomicUsize::new(1);
-    let host = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
+    /// Hosts in each of the networks from 127.77 on.
+    const HOSTS: usize = 250;
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let (network, host) = {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        (77 + number / HOSTS, 1 + number % HOSTS)
+    };
     let process_part = std::process::id() as usize % 250;
-    let listener = TcpListener::bind(format!("127.{}.{}.{}:0", 77, process_part, host)).unwrap();
+    let listener = TcpListener::bind(format!("127.{network}.{process_part}.{host}:0")).unwrap();
     listener.local_addr().unwrap()
 }
 
