Write the log from a thread of its own, and lose lines that cannot be written

What callers saw: a forwarder ended by itself when its standard error was on a full disk or its reader had gone, and answered nobody when its reader took nothing.

Cause: eprintln! panics on an error and waits for a full pipe, in the one thread that serves.

Evidence: log_output::* with real processes; exit status 101 at the second line, and no answer to the first message after the pipe was full.

Why it works: lines are queued without waiting (256 of 2 KiB at most) for a thread that writes them and ignores errors; lost lines are counted in the log. Text and order of the lines are as before. The facade is the log crate, so that the library logs the same way.

--- a/src/bin/foldtrack/accept_loop.rs
+++ b/src/bin/foldtrack/accept_loop.rs
@@ -125,7 +125,7 @@
 /// Sets the length of the listener's accept queue.
 fn set_backlog(listener: &TcpListener, count: u32) {
     if let Err(error) = listen(listener, i32::try_from(count).unwrap_or(i32::MAX)) {
-        eprintln!("clients: cannot set the accept backlog to {count}: {error}");
+        log::warn!("clients: cannot set the accept backlog to {count}: {error}");
     }
 }
 
--- a/src/bin/foldtrack/admin_server.rs
+++ b/src/bin/foldtrack/admin_server.rs
@@ -47,7 +47,7 @@
     let listener = loop {
         match TcpListener::bind(address).await {
             Ok(listener) => break listener,
-            Err(error) => eprintln!("admin: cannot listen on {address}: {error}"),
+            Err(error) => log::warn!("admin: cannot listen on {address}: {error}"),
         }
         sleep(BIND_RETRY_DELAY).await;
     };
--- a/src/bin/foldtrack/client_stats.rs
+++ b/src/bin/foldtrack/client_stats.rs
@@ -71,7 +71,7 @@
     pub fn record_invalid_request(&self, error: &hyper::Error) {
         self.record_close(CloseReason::InvalidRequest);
         if self.takes_line() {
-            eprintln!("clients: connection closed: {error}");
+            log::info!("clients: connection closed: {error}");
         }
     }
 
@@ -79,7 +79,7 @@
     pub fn record_rejection(&self, status: StatusCode, id: Option<&str>) {
         *self.counts().rejections.entry(status.as_u16()).or_default() += 1;
         if self.takes_line() {
-            eprintln!("request {}: rejected with {status}", id.unwrap_or("without id"));
+            log::info!("request {}: rejected with {status}", id.unwrap_or("without id"));
         }
     }
 
--- a/src/bin/foldtrack/discovery_client.rs
+++ b/src/bin/foldtrack/discovery_client.rs
@@ -34,7 +34,7 @@
         }
         DiscoveryEvent::InvalidReply { status, error } => {
             let reason = error.map_or_else(|| "unexpected status".to_string(), |error| error.to_string());
-            eprintln!("discovery: invalid reply with status {status}: {reason}");
+            log::warn!("discovery: invalid reply with status {status}: {reason}");
         }
     };
     Client::new(transport, on_event, ClientOptions::from(settings), fastrand::Rng::new())
--- a/src/bin/foldtrack/draining.rs
+++ b/src/bin/foldtrack/draining.rs
@@ -192,7 +192,7 @@
             .into_iter()
             .for_each(|number| events.send(NodeEvent::ResponseEnded { number, written: true }));
         drop(reserved_connections);
-        eprintln!("upgrade: the old process has ended");
+        log::info!("upgrade: the old process has ended");
         Ok(())
     }
 }
--- a/src/bin/foldtrack/endpoint_list_cache.rs
+++ b/src/bin/foldtrack/endpoint_list_cache.rs
@@ -30,7 +30,7 @@
 pub(crate) fn load_newest(directory: &Path, configured: ServerList) -> ServerList {
     let cached = match fs::read(path(directory)) {
         Ok(bytes) => serde_json::from_slice::<ServerList>(&bytes)
-            .inspect_err(|e| eprintln!("discovery: cannot read the cached endpoint list: {e}"))
+            .inspect_err(|e| log::warn!("discovery: cannot read the cached endpoint list: {e}"))
             .ok(),
         Err(_) => None,
     };
@@ -70,7 +70,7 @@
         if let Err(error) = self.write(list.version, reserve_more) {
             // Removes the old file: an outdated list is worse than the one in the configuration.
             let _ = fs::remove_file(&self.path);
-            eprintln!("discovery: cannot cache the endpoint list: {error}");
+            log::warn!("discovery: cannot cache the endpoint list: {error}");
         }
     }
 
--- a/src/bin/foldtrack/hot_restart.rs
+++ b/src/bin/foldtrack/hot_restart.rs
@@ -125,7 +125,7 @@
         match requested.map_err(io::Error::other)? {
             Ok(offer) => return Ok(StartMode::Takeover(Box::new(offer))),
             Err(error) if !logged => {
-                eprintln!("upgrade: the owner of the log hands nothing over yet: {error}")
+                log::warn!("upgrade: the owner of the log hands nothing over yet: {error}")
             }
             Err(_) => {}
         }
@@ -278,17 +278,17 @@
             match timeout(EXCHANGE_TIMEOUT, read_format).await {
                 Ok(Ok(successor_format)) if successor_format == format => match stream.into_std() {
                     Ok(stream) => events.send(NodeEvent::Successor(stream)),
-                    Err(error) => eprintln!("upgrade: cannot use the connection of a successor: {error}"),
+                    Err(error) => log::warn!("upgrade: cannot use the connection of a successor: {error}"),
                 },
                 Ok(Ok(successor_format)) => {
-                    eprintln!(
+                    log::warn!(
                         "upgrade: state format of the successor differs: {successor_format}, expected {format}; \
                          terminating"
                     );
                     events.send(NodeEvent::Terminate);
                 }
-                Ok(Err(error)) => eprintln!("upgrade: cannot read the state format of a successor: {error}"),
-                Err(_) => eprintln!("upgrade: timed out waiting for the state format of a successor"),
+                Ok(Err(error)) => log::warn!("upgrade: cannot read the state format of a successor: {error}"),
+                Err(_) => log::warn!("upgrade: timed out waiting for the state format of a successor"),
             }
         }
     }))
--- a/src/bin/foldtrack/main.rs
+++ b/src/bin/foldtrack/main.rs
@@ -23,6 +23,7 @@
 mod hot_restart;
 mod http_body;
 mod interval_stats;
+mod log_writer;
 mod memory_plan;
 mod memory_usage;
 mod message;
@@ -60,7 +61,7 @@
         while hangup.recv().await.is_some() {
             match Config::reload_discovery_address() {
                 Ok(address) => events.send(NodeEvent::DiscoveryAddress(address)),
-                Err(error) => eprintln!("foldtrack: keeping the current discovery address: {error}"),
+                Err(error) => log::warn!("foldtrack: keeping the current discovery address: {error}"),
             }
         }
     });
@@ -77,16 +78,25 @@
 /// Executes the program anew in this process, which then restores its state from the write-ahead log. Called
 /// when the successor, which owned the log, has ended.
 fn restart_process() -> ExitCode {
-    eprintln!("foldtrack: the successor has ended; restarting from the write-ahead log");
+    log::warn!("foldtrack: the successor has ended; restarting from the write-ahead log");
+    log::logger().flush();
     let error = match std::env::current_exe() {
         Ok(program) => Command::new(program).args(std::env::args_os().skip(1)).exec(),
         Err(error) => error,
     };
-    eprintln!("foldtrack: cannot restart: {error}");
+    log::error!("foldtrack: cannot restart: {error}");
     ExitCode::FAILURE
 }
 
 fn main() -> ExitCode {
+    log_writer::install();
+    let exit_code = run_to_exit();
+    log::logger().flush();
+    exit_code
+}
+
+/// Runs the forwarder with the configuration of its environment.
+fn run_to_exit() -> ExitCode {
     let result = Config::load().and_then(|config| {
         // A single thread, since the forwarder is given one core.
         let mut runtime = tokio::runtime::Builder::new_current_thread();
@@ -95,12 +105,12 @@
     });
     match result {
         Ok(ExitReason::Completed) => {
-            eprintln!("foldtrack: terminated");
+            log::info!("foldtrack: terminated");
             ExitCode::SUCCESS
         }
         Ok(ExitReason::SuccessorLost) => restart_process(),
         Err(error) => {
-            eprintln!("foldtrack: {error}");
+            log::error!("foldtrack: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -202,7 +202,7 @@
             StartMode::ColdStart(lock) => break (Node::restore_from_log(&config, &events, lock)?, None),
             StartMode::Takeover(offer) => match Node::take_over(&config, &events, *offer) {
                 Ok((node, listener)) => break (node, Some(listener)),
-                Err(error) => eprintln!("upgrade: cannot take over from the running process: {error}"),
+                Err(error) => log::warn!("upgrade: cannot take over from the running process: {error}"),
             },
         }
     };
@@ -244,19 +244,19 @@
     node.accepting = true;
     let successor_listener = hot_restart::listen_for_successors(&socket_path, format, events);
     if let Err(error) = &successor_listener {
-        eprintln!("upgrade: no successor can take over while this process runs: {error}");
+        log::warn!("upgrade: no successor can take over while this process runs: {error}");
     }
     while !node.may_exit(accept_task.is_finished()) {
         node.run_round(&mut batch);
         if let Some(successor) = node.successor.take() {
             match node.offer_takeover(&successor) {
                 Ok(()) => {
-                    eprintln!("upgrade: a new version has taken over");
+                    log::info!("upgrade: a new version has taken over");
                     discovery_task.abort();
                     successor_listener.iter().for_each(JoinHandle::abort);
                     return node.into_draining_process().run(successor, receiver).await;
                 }
-                Err(error) => eprintln!("upgrade: the successor could not take over: {error}"),
+                Err(error) => log::warn!("upgrade: the successor could not take over: {error}"),
             }
         }
         let wake = node.next_wake();
@@ -393,7 +393,7 @@
                 body_bytes: self.body_memory.reserved(),
                 client_stats: self.client_stats.take_text(),
             });
-            line.into_iter().for_each(|line| eprintln!("{line}"));
+            line.into_iter().for_each(|line| log::info!("{line}"));
         }
     }
 
@@ -429,13 +429,13 @@
                 let _ = reply.send(self.handle_admin_request(request));
             }
             NodeEvent::DiscoveryAddress(address) => {
-                eprintln!("discovery: address changed to {address}");
+                log::info!("discovery: address changed to {address}");
                 self.discovery_address.send_replace(address);
             }
             NodeEvent::Successor(stream) => self.successor = Some(stream),
             NodeEvent::Terminate => {
                 if self.terminated_at.is_none() {
-                    eprintln!("foldtrack: told to terminate");
+                    log::info!("foldtrack: told to terminate");
                     self.terminated_at = Some(Instant::now());
                     self.stage.send_replace(LifecycleStage::Draining);
                     let exit_at = self.clock.now() + TERMINATE_TIMEOUT.as_micros() as Micros;
@@ -506,12 +506,12 @@
             return AdminResponse::new(StatusCode::NOT_FOUND, "no such endpoint\n");
         }
         if let Err(error) = self.disabled_endpoints.set_disabled(name, disabled) {
-            eprintln!("admin: state of endpoint {name} not changed: {error}");
+            log::warn!("admin: state of endpoint {name} not changed: {error}");
             return AdminResponse::new(StatusCode::INSUFFICIENT_STORAGE, format!("{error}\n"));
         }
         let state = if disabled { "out" } else { "in" };
         if let Some(target) = target.filter(|_| was_disabled != disabled) {
-            eprintln!("admin: endpoint {name} is {state}");
+            log::info!("admin: endpoint {name} is {state}");
             self.endpoints[target as usize].generation += 1;
             self.notify_policy(Event::EndpointAdminState { target, disabled });
         }
@@ -606,7 +606,7 @@
             };
             let accepted = LogRecord::Accepted(held.message.to_accepted(&self.settings, &self.clock));
             if let Err(error) = self.write_ahead_log.append(number, &accepted) {
-                eprintln!("journal: cannot record a message: {error}");
+                log::warn!("journal: cannot record a message: {error}");
                 let id = held.message.id.clone();
                 self.log_refusal(&id, RefusalReason::LogFailed);
                 let _ = reply.send(SubmitResponse::Refused { retry_in_ms: 0 });
@@ -671,7 +671,7 @@
             Action::Fail { id } => self.end_undelivered(id, NonDeliveryNotice::GivenUp),
             Action::Timer { after, token } => drop(self.timers.insert((self.clock.now() + after, token))),
             Action::CloseIdle { target } => self.idle_connections.close(target),
-            Action::Log { text } => eprintln!("{text}"),
+            Action::Log { text } => log::info!("{text}"),
             // The discovery client watches the list all the time; this deployment has no probes and no
             // messages between replicas.
             Action::Subscribe { .. } | Action::FetchList | Action::Probe { .. } | Action::Tell { .. } => {}
@@ -727,7 +727,7 @@
             LogRecord::AttemptStarted { started_at: self.clock.unix_micros_at(self.clock.now()), zone };
         match self.write_ahead_log.append(number, &attempt_start) {
             Ok(()) => call.started = true,
-            Err(error) => eprintln!("journal: call not started, as it cannot be recorded: {error}"),
+            Err(error) => log::warn!("journal: call not started, as it cannot be recorded: {error}"),
         }
         call.started
     }
@@ -824,14 +824,14 @@
         let address = self.endpoints[end.target as usize].address;
         let line =
             self.interval_stats.failed_attempt_line(&held.message.id, end.attempt, address, end.outcome);
-        line.into_iter().for_each(|line| eprintln!("{line}"));
+        line.into_iter().for_each(|line| log::info!("{line}"));
     }
 
     /// Appends a record whose loss can be tolerated: an error is only logged. Without the record, a restart
     /// assumes that an attempt may have run where it did not.
     fn append_record(&mut self, number: u64, record: &LogRecord) {
         if let Err(error) = self.write_ahead_log.append(number, record) {
-            eprintln!("journal: cannot write a record: {error}");
+            log::warn!("journal: cannot write a record: {error}");
         }
     }
 
@@ -856,7 +856,7 @@
         self.recovery_stats.record_undelivered(number, held.message.expires_at, held.attempts);
         let time_left = held.message.expires_at as i64 - self.clock.now() as i64;
         let line = self.interval_stats.record_undelivered(&held.message.id, notice, held.attempts, time_left);
-        line.into_iter().for_each(|line| eprintln!("{line}"));
+        line.into_iter().for_each(|line| log::info!("{line}"));
         self.append_record(number, &LogRecord::NoticeIssued(notice));
         let pending =
             PendingNotice { id: held.message.id.clone(), order_key: held.message.order_key_hash(), notice };
@@ -866,7 +866,7 @@
 
     fn log_refusal(&mut self, id: &str, reason: RefusalReason) {
         let line = self.interval_stats.record_refusal(id, reason);
-        line.into_iter().for_each(|line| eprintln!("{line}"));
+        line.into_iter().for_each(|line| log::info!("{line}"));
     }
 
     fn send_notices(&mut self) {
--- a/src/bin/foldtrack/node/takeover.rs
+++ b/src/bin/foldtrack/node/takeover.rs
@@ -37,7 +37,7 @@
         let old_process = OldProcessLink { events, settings, calls, responding, reserved_connections, clock };
         tokio::spawn(async move {
             if let Err(error) = old_process.run(stream).await {
-                eprintln!("upgrade: lost the connection to the old process: {error}");
+                log::warn!("upgrade: lost the connection to the old process: {error}");
             }
         });
         Ok((node, listener))
--- a/src/bin/foldtrack/report_client.rs
+++ b/src/bin/foldtrack/report_client.rs
@@ -170,18 +170,18 @@
             match timeout(report_timeout, post(address, lines.clone(), &idle_connection)).await {
                 Ok(Some(StatusCode::NO_CONTENT)) => return true,
                 Ok(Some(status)) => {
-                    eprintln!(
+                    log::warn!(
                         "reports: {address} has responded {status} to {count} notices; sending them again"
                     );
                     sleep(REPORT_RETRY_DELAY).await;
                 }
                 Ok(None) => {
-                    eprintln!(
+                    log::warn!(
                         "reports: connection to {address} lost with {count} notices; sending them again"
                     );
                     sleep(REPORT_RETRY_DELAY).await;
                 }
-                Err(_) => eprintln!("reports: {address} silent about {count} notices; sending them again"),
+                Err(_) => log::warn!("reports: {address} silent about {count} notices; sending them again"),
             }
             false
         };
--- a/src/bin/foldtrack/write_ahead_log.rs
+++ b/src/bin/foldtrack/write_ahead_log.rs
@@ -125,11 +125,11 @@
             }
             match (at + 1..bytes.len()).find(|next| decode(&bytes[*next..]).is_some()) {
                 Some(next) => {
-                    eprintln!("journal: {} damaged bytes at {at} skipped", next - at);
+                    log::warn!("journal: {} damaged bytes at {at} skipped", next - at);
                     at = next;
                 }
                 None => {
-                    eprintln!(
+                    log::warn!(
                         "journal: truncated at {at}, {} bytes of an unfinished record removed",
                         bytes.len() - at
                     );
--- a/src/discovery/list.rs
+++ b/src/discovery/list.rs
@@ -29,7 +29,7 @@
     let entries = Vec::<Value>::deserialize(deserializer)?;
     let parse = |entry: Value| {
         ServerEntry::deserialize(&entry)
-            .inspect_err(|e| eprintln!("discovery: invalid list entry {entry} skipped: {e}"))
+            .inspect_err(|e| log::warn!("discovery: invalid list entry {entry} skipped: {e}"))
             .ok()
     };
     Ok(entries.into_iter().filter_map(parse).collect())
