Reproduce that a request which comes again under its id runs again

A client that gets no answer sends its request once more on a new connection. The same id was a new message each time: while the first is held, after its delivery, after its client had left, after a kill, and at the other process of a hot restart.

--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -8,6 +8,7 @@
 mod harness;
 mod hot_restart;
 mod log_output;
+mod repeated_requests;
 mod unread_responses;
 
 use harness::*;
