Answer a request that comes again by the first, and send it once

What callers saw: a request that a client sent once more under its id, after its connection had ended without an answer, ran twice: while the first was held, after its delivery, after its client had left, after a kill, and at the other process of a hot restart.

Cause: nothing looked up the id of a request; each submission was a new message.

A request that comes again is answered by what has become of the first. The end of a request is recorded beside the completion of its message, so that a restart and a successor know it. A message is discarded only if none of its responses was written. The format of the state that a successor gets is 7.

--- a/src/bin/foldtrack/client_server.rs
+++ b/src/bin/foldtrack/client_server.rs
@@ -406,6 +406,8 @@
             Ok(empty_response(StatusCode::ACCEPTED))
         }
         Ok(SubmitResponse::Refused { retry_in_ms }) => Ok(refusal_response(retry_in_ms)),
+        Ok(SubmitResponse::Delivered) => Ok(empty_response(StatusCode::OK)),
+        Ok(SubmitResponse::Failed) => Ok(empty_response(StatusCode::GONE)),
         Err(_) => Ok(refusal_response(0)),
     }
 }
--- a/src/bin/foldtrack/draining.rs
+++ b/src/bin/foldtrack/draining.rs
@@ -72,6 +72,8 @@
     Cancel { number: u64, attempt: u32 },
     Accepted { request: u64, number: u64 },
     Refused { request: u64, retry_in_ms: u64 },
+    Delivered { request: u64 },
+    Failed { request: u64 },
 }
 
 /// A call of the old process: message number, attempt, target, and the receiver of its cancellation.
@@ -113,7 +115,8 @@
                 }
             });
         }
-        let mut response_guards: BTreeMap<u64, ResponseGuard> = BTreeMap::new();
+        // A request that came again has a response for each time.
+        let mut response_guards: BTreeMap<u64, Vec<ResponseGuard>> = BTreeMap::new();
         let (frames, mut received) = mpsc::unbounded_channel();
         tokio::spawn(async move {
             while let Ok(frame) = read_frame::<OldProcessFrame>(&mut reader).await {
@@ -130,11 +133,15 @@
                         OwnerCommand::Cancel { number, attempt } => OwnerFrame::Cancel { number, attempt },
                         OwnerCommand::Respond { request, response: SubmitResponse::Accepted(guard) } => {
                             let number = guard.number();
-                            response_guards.insert(number, guard);
+                            response_guards.entry(number).or_default().push(guard);
                             OwnerFrame::Accepted { request, number }
                         }
                         OwnerCommand::Respond { request, response: SubmitResponse::Refused { retry_in_ms } } =>
                             OwnerFrame::Refused { request, retry_in_ms },
+                        OwnerCommand::Respond { request, response: SubmitResponse::Delivered } =>
+                            OwnerFrame::Delivered { request },
+                        OwnerCommand::Respond { request, response: SubmitResponse::Failed } =>
+                            OwnerFrame::Failed { request },
                     };
                     // If the old process has ended, the end of its frames reports that.
                     let _ = write_frame(&mut writer, &frame).await;
@@ -162,7 +169,7 @@
                         }));
                     }
                     Some(OldProcessFrame::ResponseEnded { number, written }) =>
-                        match response_guards.remove(&number) {
+                        match response_guards.get_mut(&number).and_then(Vec::pop) {
                             Some(mut guard) => guard.written = written,
                             None => {
                                 responding.remove(&number);
@@ -187,7 +194,7 @@
         for ((number, attempt), target) in open_calls {
             events.send(NodeEvent::CallEnded(CallEnd::new(number, attempt, target, Outcome::Reset, false)));
         }
-        response_guards.into_values().for_each(|mut guard| guard.written = true);
+        response_guards.into_values().flatten().for_each(|mut guard| guard.written = true);
         responding
             .into_iter()
             .for_each(|number| events.send(NodeEvent::ResponseEnded { number, written: true }));
@@ -288,6 +295,12 @@
                         let response = SubmitResponse::Refused { retry_in_ms };
                         let _ = replies.remove(&request).map(|reply| reply.send(response));
                     }
+                    Some(OwnerFrame::Delivered { request }) => {
+                        let _ = replies.remove(&request).map(|reply| reply.send(SubmitResponse::Delivered));
+                    }
+                    Some(OwnerFrame::Failed { request }) => {
+                        let _ = replies.remove(&request).map(|reply| reply.send(SubmitResponse::Failed));
+                    }
                     None if terminated_at.is_some() => break ExitReason::Completed,
                     None => break ExitReason::SuccessorLost,
                 },
--- a/src/bin/foldtrack/events.rs
+++ b/src/bin/foldtrack/events.rs
@@ -39,6 +39,10 @@
     Accepted(ResponseGuard),
     /// The message is refused, with this Retry-After; 0 for none.
     Refused { retry_in_ms: u64 },
+    /// The request has come before, and its message has been delivered.
+    Delivered,
+    /// The request has come before, and its message has failed.
+    Failed,
 }
 
 /// Reports to the node, when dropped, whether the client's response has been written.
--- a/src/bin/foldtrack/hot_restart.rs
+++ b/src/bin/foldtrack/hot_restart.rs
@@ -67,6 +67,8 @@
     pub attempts: u32,
     /// Whether its client has been told that it is accepted.
     pub acknowledged: bool,
+    /// Responses to its client that the old process is writing.
+    pub pending_responses: u32,
     /// A send that the policy has decided on and that has not started: attempt, target, time of its timeout, time of
     /// the decision.
     pub pending_send: Option<(u32, TargetId, Micros, Micros)>,
--- a/src/bin/foldtrack/interval_stats.rs
+++ b/src/bin/foldtrack/interval_stats.rs
@@ -23,6 +23,8 @@
     pub accepted: u32,
     refused: u32,
     failed_attempts: u32,
+    /// Requests that came again and were answered as before.
+    pub repeated_requests: u32,
     /// Refused before the policy decided, since their requests had waited too long to be read.
     pub refused_late: u32,
     handed_back: u32,
@@ -215,6 +217,7 @@
             + stats.given_up
             + stats.closed_unread
             + stats.connections_refused
+            + stats.repeated_requests
             + stats.calls_by_outcome.iter().sum::<u32>()
             == 0;
         let nothing_waits = gauges.held_messages == 0
@@ -245,7 +248,7 @@
         let _ = write!(
             text,
             " cut short {}, dialled {}, stale {} (idle for {:?} or more, sound to {:?}); held {} waiting {} calls out {} \
-             idle connections {} notices {}; of {} found untried at the start {} given up with no call; longest round {} us, turn of the last second {} us; clients {}, of them {} read no response, closed for that {}, none free for {} ms, refused for that {}; memory {} KB, at most {} of {} KB, bodies {} KB{}",
+             idle connections {} notices {}; of {} found untried at the start {} given up with no call; longest round {} us, turn of the last second {} us; clients {}, of them {} read no response, closed for that {}, none free for {} ms, refused for that {}; memory {} KB, at most {} of {} KB, bodies {} KB; requests repeated {}{}",
             stats.truncated_responses,
             stats.connections_opened,
             stats.stale_resets,
@@ -269,6 +272,7 @@
             gauges.memory.peak / 1000,
             gauges.memory_limit / 1000,
             gauges.body_bytes / 1000,
+            stats.repeated_requests,
             gauges.client_stats
         );
         Some(text)
--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -32,11 +32,15 @@
 use crate::overload::OverloadMonitor;
 use crate::report_client::ReportClient;
 use crate::unread_responses::UnreadResponses;
-use crate::write_ahead_log::{ExecutionStatus, LogRecord, NonDeliveryNotice, RestoredMessage, WriteAheadLog};
+use crate::write_ahead_log::{
+    EndedRequest, ExecutionStatus, LogRecord, NonDeliveryNotice, RestoredLog, RestoredMessage, WriteAheadLog,
+    ENDED_REQUESTS_DIVISOR,
+};
 use hatchline::discovery::list::{ServerList, ServerState};
 use hatchline::settings::DeploymentSettings;
 use hatchline::{
-    Action, DeliveryPolicy, Endpoint, EndpointState, Event, ListKind, Micros, Outcome, TargetId,
+    Action, DeliveryPolicy, Endpoint, EndpointState, Event, ListKind, Micros, Outcome, PreviousRequest,
+    RequestEnd, RequestHistory, TargetId,
 };
 use hyper::StatusCode;
 use serde_json::json;
@@ -76,11 +80,12 @@
 
 /// How far the acceptance of a message has come.
 enum Acceptance {
-    /// The client has no response yet, and the policy may still refuse the message.
-    Undecided(oneshot::Sender<SubmitResponse>),
+    /// The client has no response yet, and the policy may still refuse the message. If the request has come again
+    /// meanwhile, each time waits for a response.
+    Undecided(Vec<oneshot::Sender<SubmitResponse>>),
     /// The response is being written.
     Responding,
-    /// The response has been written.
+    /// A response has been written.
     Accepted,
 }
 
@@ -98,6 +103,8 @@
 struct HeldMessage {
     message: Arc<Message>,
     acceptance: Acceptance,
+    /// Responses that are being written.
+    pending_responses: u32,
     /// Attempts that the policy has decided on so far.
     attempts: u32,
     /// A send that the policy has decided on but that may not start yet: see [`Node::start_pending_send`].
@@ -110,7 +117,28 @@
     /// Id that the client gave the message.
     id: String,
     order_key: u64,
+    expires_at: Micros,
     notice: NonDeliveryNotice,
+    /// A response that accepts the message has been written.
+    accepted: bool,
+    /// Responses that are being written.
+    pending_responses: u32,
+}
+
+/// How the request of a message with this notice has ended.
+fn request_end(notice: NonDeliveryNotice) -> RequestEnd {
+    match notice {
+        NonDeliveryNotice::GivenUp => RequestEnd::GivenUp,
+        NonDeliveryNotice::HandedBack { retry_in_ms } => RequestEnd::HandedBack { retry_in_ms },
+    }
+}
+
+/// Tells all clients that wait for a response that their message is refused.
+fn refuse_all(replies: Vec<oneshot::Sender<SubmitResponse>>, retry_in_ms: u64) {
+    for reply in replies {
+        // The client may have disconnected.
+        let _ = reply.send(SubmitResponse::Refused { retry_in_ms });
+    }
 }
 
 /// A call in flight.
@@ -137,6 +165,7 @@
     policy: DeliveryPolicy,
     settings: Arc<DeploymentSettings>,
     write_ahead_log: WriteAheadLog,
+    request_history: RequestHistory,
     events: EventSender,
     discovery_address: watch::Sender<SocketAddr>,
     /// Number of the next message. Numbers grow in the order of arrival.
@@ -286,9 +315,11 @@
         let max_log_bytes = max_log_bytes.min(memory.write_ahead_log_bytes);
         let (write_ahead_log, restored) =
             WriteAheadLog::open(&config.state_directory, max_log_bytes, settings.max_attempts)?;
+        let next_number = restored.next_number();
+        let RestoredLog { messages: restored, ended } = restored;
         let discovery_address = watch::Sender::new(config.discovery_address);
         let idle_timeout = Duration::from_micros(settings.connection_idle_timeout);
-        let node = Node {
+        let mut node = Node {
             clock,
             policy,
             settings: config.settings.clone(),
@@ -296,7 +327,8 @@
             events: events.clone(),
             report_client: ReportClient::new(discovery_address.subscribe()),
             discovery_address,
-            next_number: restored.last_key_value().map_or(1, |(number, _)| number + 1),
+            next_number,
+            request_history: RequestHistory::new((max_log_bytes / ENDED_REQUESTS_DIVISOR) as usize),
             messages: BTreeMap::new(),
             undecided: Vec::new(),
             pending_notices: BTreeMap::new(),
@@ -329,6 +361,9 @@
             overload: OverloadMonitor::default(),
             actions: Vec::new(),
         };
+        for (number, EndedRequest { id, expires_at, end }) in ended {
+            node.record_request_end(number, &id, clock.micros_at_unix(expires_at), end);
+        }
         Ok((node, restored))
     }
 
@@ -377,6 +412,9 @@
         if self.last_maintenance.elapsed() > MAINTENANCE_INTERVAL {
             self.last_maintenance = Instant::now();
             self.idle_connections.evict_expired();
+            for number in self.request_history.expire(self.clock.now()) {
+                self.write_ahead_log.forget_ended(number);
+            }
             let line = self.interval_stats.take_line(&Gauges {
                 recovery: self.recovery_stats,
                 held_messages: self.messages.len(),
@@ -522,8 +560,16 @@
     fn restore_message(&mut self, number: u64, restored: RestoredMessage) {
         let RestoredMessage { accepted, attempts, notice } = restored;
         if let Some(notice) = notice {
-            let order_key = order_key_hash(&accepted.order_key);
-            self.pending_notices.insert(number, PendingNotice { id: accepted.id, order_key, notice });
+            let pending = PendingNotice {
+                order_key: order_key_hash(&accepted.order_key),
+                expires_at: self.clock.micros_at_unix(accepted.expires_at),
+                id: accepted.id,
+                notice,
+                accepted: true,
+                pending_responses: 0,
+            };
+            self.record_request_end(number, &pending.id, pending.expires_at, request_end(notice));
+            self.pending_notices.insert(number, pending);
             self.unsent_notices.insert(number);
             return;
         }
@@ -531,9 +577,11 @@
         let class = message.class;
         let (order_key, destination, expires) =
             (message.order_key_hash(), message.destination, message.expires_at);
+        self.request_history.hold(&message.id, number);
         let held = HeldMessage {
             message: Arc::new(message),
             acceptance: Acceptance::Accepted,
+            pending_responses: 0,
             attempts: attempts.len() as u32,
             pending_send: None,
         };
@@ -563,6 +611,10 @@
     }
 
     fn submit(&mut self, message: Arc<Message>, reply: oneshot::Sender<SubmitResponse>) {
+        if let Some(previous) = self.request_history.previous(&message.id) {
+            self.interval_stats.repeated_requests += 1;
+            return self.answer_repeated_request(previous, reply);
+        }
         let full = self.messages.len() >= self.settings.settings.max_held as usize;
         if full || !self.write_ahead_log.has_space_for(message.log_bytes()) {
             let reason = if full { RefusalReason::TooManyHeld } else { RefusalReason::NoLogSpace };
@@ -581,11 +633,13 @@
             order_key: message.order_key_hash(),
             expires: message.expires_at,
         };
+        self.request_history.hold(&message.id, id);
         self.messages.insert(
             id,
             HeldMessage {
                 message,
-                acceptance: Acceptance::Undecided(reply),
+                acceptance: Acceptance::Undecided(vec![reply]),
+                pending_responses: 0,
                 attempts: 0,
                 pending_send: None,
             },
@@ -594,12 +648,46 @@
         self.notify_policy(event);
     }
 
+    /// Answers a request that has come before by what has become of it. No second message is created.
+    fn answer_repeated_request(&mut self, previous: PreviousRequest, reply: oneshot::Sender<SubmitResponse>) {
+        let response = match previous {
+            PreviousRequest::Held(number) => return self.respond_again(number, reply),
+            PreviousRequest::Ended(RequestEnd::Delivered) => SubmitResponse::Delivered,
+            PreviousRequest::Ended(RequestEnd::HandedBack { retry_in_ms }) => {
+                SubmitResponse::Refused { retry_in_ms }
+            }
+            PreviousRequest::Ended(RequestEnd::GivenUp) => SubmitResponse::Failed,
+        };
+        // The client may have disconnected.
+        let _ = reply.send(response);
+    }
+
+    /// Responds to a request that has come again as to the first: its message is held.
+    fn respond_again(&mut self, number: u64, reply: oneshot::Sender<SubmitResponse>) {
+        let Some(held) = self.messages.get_mut(&number) else { return };
+        match &mut held.acceptance {
+            Acceptance::Undecided(replies) => replies.push(reply),
+            Acceptance::Responding | Acceptance::Accepted => {
+                held.pending_responses += 1;
+                let guard = ResponseGuard::new(number, self.events.clone());
+                let _ = reply.send(SubmitResponse::Accepted(guard));
+            }
+        }
+    }
+
+    /// Remembers how the request of a message has ended.
+    fn record_request_end(&mut self, number: u64, id: &str, expires_at: Micros, end: RequestEnd) {
+        for forgotten in self.request_history.end(id, number, expires_at, end) {
+            self.write_ahead_log.forget_ended(forgotten);
+        }
+    }
+
     /// Accepts the submitted messages that the policy has not refused. Each is recorded in the write-ahead
     /// log before the response is sent.
     fn respond_to_clients(&mut self) {
         for number in std::mem::take(&mut self.undecided) {
             let Some(held) = self.messages.get_mut(&number) else { continue };
-            let Acceptance::Undecided(reply) =
+            let Acceptance::Undecided(replies) =
                 std::mem::replace(&mut held.acceptance, Acceptance::Responding)
             else {
                 continue;
@@ -609,35 +697,58 @@
                 log::warn!("journal: cannot record a message: {error}");
                 let id = held.message.id.clone();
                 self.log_refusal(&id, RefusalReason::LogFailed);
-                let _ = reply.send(SubmitResponse::Refused { retry_in_ms: 0 });
+                refuse_all(replies, 0);
                 self.discard_unaccepted(number);
                 continue;
             }
-            let guard = ResponseGuard::new(number, self.events.clone());
-            // If the client has disconnected, the guard is dropped here and reports that.
-            let _ = reply.send(SubmitResponse::Accepted(guard));
+            held.pending_responses = replies.len() as u32;
+            for reply in replies {
+                let guard = ResponseGuard::new(number, self.events.clone());
+                // If the client has disconnected, the guard is dropped here and reports that.
+                let _ = reply.send(SubmitResponse::Accepted(guard));
+            }
         }
     }
 
-    /// Handles the end of a client's response. If it was written, the message is accepted and may be sent; if
-    /// the client disconnected first, the message is discarded.
+    /// Handles the end of a client's response. If it was written, the message is accepted and may be sent. If no response
+    /// was written, since the client disconnected first each time, the message is discarded.
     fn response_ended(&mut self, number: u64, written: bool) {
-        if !written {
-            self.interval_stats.clients_gone += 1;
+        self.interval_stats.clients_gone += u32::from(!written);
+        let Some(held) = self.messages.get_mut(&number) else {
+            return self.response_to_ended_message_ended(number, written);
+        };
+        held.pending_responses = held.pending_responses.saturating_sub(1);
+        let is_accepted = matches!(held.acceptance, Acceptance::Accepted);
+        if written && !is_accepted {
+            held.acceptance = Acceptance::Accepted;
+            self.interval_stats.accepted += 1;
+            self.start_pending_send(number);
+        } else if !written && !is_accepted && held.pending_responses == 0 {
             self.append_record(number, &LogRecord::Completed);
-            self.pending_notices.remove(&number);
-            self.unsent_notices.remove(&number);
-            return self.discard_unaccepted(number);
+            self.discard_unaccepted(number);
+        }
+    }
+
+    /// Handles the end of a response to the client of a message that has ended undelivered: no notice is due if no client
+    /// has been told that it is accepted.
+    fn response_to_ended_message_ended(&mut self, number: u64, written: bool) {
+        let Some(pending) = self.pending_notices.get_mut(&number) else { return };
+        pending.accepted |= written;
+        pending.pending_responses = pending.pending_responses.saturating_sub(1);
+        if pending.accepted || pending.pending_responses > 0 {
+            return;
+        }
+        self.append_record(number, &LogRecord::Completed);
+        self.unsent_notices.remove(&number);
+        if let Some(PendingNotice { id, .. }) = self.pending_notices.remove(&number) {
+            self.request_history.forget(&id);
         }
-        let Some(held) = self.messages.get_mut(&number) else { return };
-        held.acceptance = Acceptance::Accepted;
-        self.interval_stats.accepted += 1;
-        self.start_pending_send(number);
     }
 
     /// Discards a message that the policy has not refused but that could not be accepted.
     fn discard_unaccepted(&mut self, number: u64) {
         let Some(held) = self.messages.remove(&number) else { return };
+        self.request_history.forget(&held.message.id);
         self.metrics.record_result(held.message.class, MessageResult::Shed);
         if let Some(PendingSend { attempt, target, .. }) = held.pending_send {
             self.notify_outcome(number, attempt, target, Outcome::NotSent, true);
@@ -795,7 +906,10 @@
                     held.message.class,
                     if delivered { MessageResult::Ok } else { MessageResult::Error },
                 );
-                self.append_record(end.number, &LogRecord::Completed);
+                let request_end = if delivered { RequestEnd::Delivered } else { RequestEnd::GivenUp };
+                let Message { id, expires_at, .. } = &*held.message;
+                self.record_request_end(end.number, id, *expires_at, request_end);
+                self.append_completion(end.number, id.clone(), *expires_at, request_end);
             }
         } else if held && started {
             let execution =
@@ -835,16 +949,28 @@
         }
     }
 
+    /// Appends the completion of a message and how its request has ended. An error is only logged: without the record, a
+    /// restart sends the message again as far as that is safe.
+    fn append_completion(&mut self, number: u64, id: String, expires_at: Micros, end: RequestEnd) {
+        let expires_at = self.clock.unix_micros_at(expires_at);
+        if let Err(error) =
+            self.write_ahead_log.append_completion(number, EndedRequest { id, expires_at, end })
+        {
+            log::warn!("journal: cannot write a record: {error}");
+        }
+    }
+
     /// Ends a message undelivered: by the response to its client if that is still due, otherwise by a notice.
     fn end_undelivered(&mut self, number: u64, notice: NonDeliveryNotice) {
         let Some(held) = self.messages.remove(&number) else { return };
         let class = held.message.class;
-        if let Acceptance::Undecided(reply) = held.acceptance {
+        if let Acceptance::Undecided(replies) = held.acceptance {
+            self.request_history.forget(&held.message.id);
             self.metrics.record_result(class, MessageResult::Shed);
             let retry_in_ms =
                 if let NonDeliveryNotice::HandedBack { retry_in_ms } = notice { retry_in_ms } else { 0 };
             self.log_refusal(&held.message.id, RefusalReason::Policy);
-            let _ = reply.send(SubmitResponse::Refused { retry_in_ms });
+            refuse_all(replies, retry_in_ms);
             return;
         }
         let result = if matches!(notice, NonDeliveryNotice::GivenUp) {
@@ -858,8 +984,15 @@
         let line = self.interval_stats.record_undelivered(&held.message.id, notice, held.attempts, time_left);
         line.into_iter().for_each(|line| log::info!("{line}"));
         self.append_record(number, &LogRecord::NoticeIssued(notice));
-        let pending =
-            PendingNotice { id: held.message.id.clone(), order_key: held.message.order_key_hash(), notice };
+        let pending = PendingNotice {
+            id: held.message.id.clone(),
+            order_key: held.message.order_key_hash(),
+            expires_at: held.message.expires_at,
+            notice,
+            accepted: matches!(held.acceptance, Acceptance::Accepted),
+            pending_responses: held.pending_responses,
+        };
+        self.record_request_end(number, &pending.id, pending.expires_at, request_end(notice));
         self.pending_notices.insert(number, pending);
         self.unsent_notices.insert(number);
     }
@@ -896,8 +1029,13 @@
     /// that.
     fn notices_acknowledged(&mut self, numbers: Vec<u64>) {
         for number in numbers {
-            self.append_record(number, &LogRecord::Completed);
-            let key = self.pending_notices.remove(&number).map_or(0, |notice| notice.order_key);
+            let key = match self.pending_notices.remove(&number) {
+                Some(PendingNotice { id, order_key, expires_at, notice, .. }) => {
+                    self.append_completion(number, id, expires_at, request_end(notice));
+                    order_key
+                }
+                None => 0,
+            };
             let is_next = |held: &HeldMessage| {
                 key != 0 && held.pending_send.is_some() && held.message.order_key_hash() == key
             };
--- a/src/bin/foldtrack/node/takeover.rs
+++ b/src/bin/foldtrack/node/takeover.rs
@@ -55,7 +55,8 @@
             self.endpoints.push(KnownEndpoint { address, zone, generation });
         }
         let mut responding = BTreeSet::new();
-        for MessageState { number, attempts, acknowledged, pending_send } in state.messages {
+        for MessageState { number, attempts, acknowledged, pending_responses, pending_send } in state.messages
+        {
             let Some(restored_message) = restored.remove(&number) else {
                 // Its record is missing in the write-ahead log, after an error that has been logged: it cannot be sent.
                 self.notify_policy(Event::Abandoned { id: number });
@@ -71,7 +72,9 @@
                 until,
                 decided_at,
             });
-            self.messages.insert(number, HeldMessage { message, acceptance, attempts, pending_send });
+            self.request_history.hold(&message.id, number);
+            let held = HeldMessage { message, acceptance, pending_responses, attempts, pending_send };
+            self.messages.insert(number, held);
         }
         // The other messages have ended, and their notices are not acknowledged yet.
         for (number, message) in restored {
@@ -95,6 +98,7 @@
             number: *number,
             attempts: held.attempts,
             acknowledged: matches!(held.acceptance, Acceptance::Accepted),
+            pending_responses: held.pending_responses,
             pending_send: held
                 .pending_send
                 .as_ref()
--- a/src/bin/foldtrack/write_ahead_log.rs
+++ b/src/bin/foldtrack/write_ahead_log.rs
@@ -3,6 +3,7 @@
 //! Each record is a frame of magic number, length, CRC and content, appended with one `write`. The frames of messages
 //! that are not completed are kept in memory too: a compaction writes them to a new file.
 
+use hatchline::RequestEnd;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fs::{self, File, OpenOptions};
@@ -17,6 +18,8 @@
 const SLACK_BYTES: u64 = 16 * 1024;
 /// A file that exceeds twice the size of its live frames by more than this is compacted, even if there is space left.
 const MAX_STALE_BYTES: u64 = 1 << 20;
+/// Share of the capacity that is for ended requests, as its divisor.
+pub(crate) const ENDED_REQUESTS_DIVISOR: u64 = 16;
 /// Upper bounds on the size of the two records of an attempt together, and of the record of a notice.
 const ATTEMPT_BYTES: u64 = 64;
 const NOTICE_BYTES: u64 = 64;
@@ -66,6 +69,17 @@
     NoticeIssued(NonDeliveryNotice),
     /// The message is delivered, or its notice is acknowledged.
     Completed,
+    /// How the request of a completed message has ended, for the case that it comes again. It follows the record of the
+    /// completion, which versions that do not know this one need.
+    Ended(EndedRequest),
+}
+
+/// A request whose message is completed. Times are Unix time in microseconds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct EndedRequest {
+    pub id: String,
+    pub expires_at: u64,
+    pub end: RequestEnd,
 }
 
 /// An attempt as the log records it. Without an execution status it was in flight when the process ended.
@@ -84,6 +98,23 @@
     pub notice: Option<NonDeliveryNotice>,
 }
 
+/// What a restart finds in the log, by the numbers of the messages.
+#[derive(Debug, Default)]
+pub(crate) struct RestoredLog {
+    /// The messages that are not completed.
+    pub messages: BTreeMap<u64, RestoredMessage>,
+    /// Requests of completed messages.
+    pub ended: BTreeMap<u64, EndedRequest>,
+}
+
+impl RestoredLog {
+    /// The first number that no message has.
+    pub fn next_number(&self) -> u64 {
+        let last = self.messages.last_key_value().map(|(number, _)| *number);
+        last.max(self.ended.last_key_value().map(|(number, _)| *number)).map_or(1, |number| number + 1)
+    }
+}
+
 /// The open log file and the live frames in it.
 #[derive(Debug)]
 pub(crate) struct WriteAheadLog {
@@ -92,6 +123,9 @@
     length: u64,
     /// The frames of each message that is not completed, by its number in the order of arrival.
     live_frames: BTreeMap<u64, Vec<u8>>,
+    /// The frame of each ended request that is remembered, by the number of its message.
+    ended_frames: BTreeMap<u64, Vec<u8>>,
+    /// Bytes of both.
     live_bytes: u64,
     /// Bytes that the old and the new file may take up together during a compaction.
     capacity: u64,
@@ -100,21 +134,27 @@
 }
 
 impl WriteAheadLog {
-    /// Opens the log in a directory where it may take up `capacity` bytes. Returns the messages that are not
-    /// completed.
+    /// Opens the log in a directory where it may take up `capacity` bytes.
     pub fn open(
         directory: &Path, capacity: u64, max_attempts: u32,
-    ) -> io::Result<(WriteAheadLog, BTreeMap<u64, RestoredMessage>)> {
+    ) -> io::Result<(WriteAheadLog, RestoredLog)> {
         let path = directory.join("journal");
         // Left over from a compaction that the end of the process interrupted.
         let _ = fs::remove_file(path.with_extension("new"));
         let file = OpenOptions::new().read(true).append(true).create(true).open(&path)?;
         let bytes = fs::read(&path)?;
         let reserve_per_message = ATTEMPT_BYTES * u64::from(max_attempts) + NOTICE_BYTES;
-        let (live_frames, live_bytes) = (BTreeMap::new(), 0);
-        let mut log =
-            WriteAheadLog { path, file, length: 0, live_frames, live_bytes, capacity, reserve_per_message };
-        let mut restored = BTreeMap::new();
+        let mut log = WriteAheadLog {
+            path,
+            file,
+            length: 0,
+            live_frames: BTreeMap::new(),
+            ended_frames: BTreeMap::new(),
+            live_bytes: 0,
+            capacity,
+            reserve_per_message,
+        };
+        let mut restored = RestoredLog::default();
         let mut at = 0;
         while at < bytes.len() {
             if let Some((frame, number, record)) = decode(&bytes[at..]) {
@@ -140,8 +180,9 @@
         }
         log.length = at as u64;
         // Damage may have destroyed the record with the message itself, without which its other frames are useless.
-        log.live_frames.retain(|number, _| restored.contains_key(number));
-        log.live_bytes = log.live_frames.values().map(|f| f.len() as u64).sum();
+        log.live_frames.retain(|number, _| restored.messages.contains_key(number));
+        let frames = log.live_frames.values().chain(log.ended_frames.values());
+        log.live_bytes = frames.map(|frame| frame.len() as u64).sum();
         Ok((log, restored))
     }
 
@@ -170,19 +211,42 @@
     /// Appends a record of the message with this number. Compacts the file first if that is due.
     pub fn append(&mut self, number: u64, record: &LogRecord) -> io::Result<()> {
         let frame = encode(number, record)?;
+        self.append_frames(&frame)?;
+        self.track_live(number, record, &frame);
+        Ok(())
+    }
+
+    /// Appends the completion of a message, and how its request has ended.
+    pub fn append_completion(&mut self, number: u64, ended: EndedRequest) -> io::Result<()> {
+        let records = [LogRecord::Completed, LogRecord::Ended(ended)];
+        let frames = [encode(number, &records[0])?, encode(number, &records[1])?];
+        self.append_frames(&frames.concat())?;
+        for (record, frame) in records.iter().zip(&frames) {
+            self.track_live(number, record, frame);
+        }
+        Ok(())
+    }
+
+    /// Forgets how the request of this message has ended.
+    pub fn forget_ended(&mut self, number: u64) {
+        let removed_bytes = self.ended_frames.remove(&number).map_or(0, |frame| frame.len());
+        self.live_bytes -= removed_bytes as u64;
+    }
+
+    /// Appends whole frames in one write.
+    fn append_frames(&mut self, frame: &[u8]) -> io::Result<()> {
         let length = self.length + frame.len() as u64;
         let exceeds_capacity =
             length + self.live_bytes + frame.len() as u64 + SLACK_BYTES / 2 > self.capacity;
         if exceeds_capacity || length > 2 * self.live_bytes + MAX_STALE_BYTES {
             self.compact()?;
         }
-        if let Err(error) = self.file.write_all(&frame) {
+        if let Err(error) = self.file.write_all(frame) {
             // Removes a partly written frame, so that the next record follows a complete one.
             let _ = self.file.set_len(self.length);
             return Err(error);
         }
         self.length += frame.len() as u64;
-        self.track_live(number, record, &frame);
         Ok(())
     }
 
@@ -192,6 +256,11 @@
                 let removed_bytes = self.live_frames.remove(&number).map_or(0, |f| f.len());
                 self.live_bytes -= removed_bytes as u64;
             }
+            LogRecord::Ended(_) => {
+                self.forget_ended(number);
+                self.ended_frames.insert(number, frame.to_vec());
+                self.live_bytes += frame.len() as u64;
+            }
             _ => {
                 self.live_frames.entry(number).or_default().extend_from_slice(frame);
                 self.live_bytes += frame.len() as u64;
@@ -203,7 +272,8 @@
     fn compact(&mut self) -> io::Result<()> {
         let new = self.path.with_extension("new");
         let mut bytes = Vec::with_capacity(self.live_bytes as usize);
-        self.live_frames.values().for_each(|frames| bytes.extend_from_slice(frames));
+        let frames = self.live_frames.values().chain(self.ended_frames.values());
+        frames.for_each(|frames| bytes.extend_from_slice(frames));
         let written = fs::write(&new, &bytes).and_then(|()| OpenOptions::new().append(true).open(&new));
         match written.and_then(|file| fs::rename(&new, &self.path).map(|()| file)) {
             Ok(file) => {
@@ -218,13 +288,24 @@
     }
 }
 
-fn replay(restored: &mut BTreeMap<u64, RestoredMessage>, number: u64, record: &LogRecord) {
-    if let LogRecord::Accepted(accepted) = record {
-        let message = RestoredMessage { accepted: accepted.clone(), attempts: Vec::new(), notice: None };
-        restored.insert(number, message);
-        return;
+fn replay(restored: &mut RestoredLog, number: u64, record: &LogRecord) {
+    match record {
+        LogRecord::Accepted(accepted) => {
+            let message = RestoredMessage { accepted: accepted.clone(), attempts: Vec::new(), notice: None };
+            restored.messages.insert(number, message);
+        }
+        LogRecord::Completed => drop(restored.messages.remove(&number)),
+        LogRecord::Ended(ended) => drop(restored.ended.insert(number, ended.clone())),
+        step => {
+            if let Some(message) = restored.messages.get_mut(&number) {
+                replay_step(message, step);
+            }
+        }
     }
-    let Some(message) = restored.get_mut(&number) else { return };
+}
+
+/// Applies a record to the message that it belongs to.
+fn replay_step(message: &mut RestoredMessage, record: &LogRecord) {
     match record {
         LogRecord::AttemptStarted { started_at, zone } => {
             message.attempts.push(RecordedAttempt { started_at: *started_at, zone: *zone, execution: None })
@@ -235,8 +316,7 @@
             }
         }
         LogRecord::NoticeIssued(notice) => message.notice = Some(*notice),
-        LogRecord::Completed => drop(restored.remove(&number)),
-        LogRecord::Accepted(_) => {}
+        LogRecord::Accepted(_) | LogRecord::Completed | LogRecord::Ended(_) => {}
     }
 }
 
@@ -271,7 +351,8 @@
     const CAPACITY: u64 = 200_000;
 
     fn open(directory: &Path) -> (WriteAheadLog, BTreeMap<u64, RestoredMessage>) {
-        WriteAheadLog::open(directory, CAPACITY, 8).unwrap()
+        let (log, restored) = WriteAheadLog::open(directory, CAPACITY, 8).unwrap();
+        (log, restored.messages)
     }
 
     fn accepted(body: usize) -> LogRecord {
@@ -348,6 +429,29 @@
         }
     }
 
+    #[test]
+    fn ended_requests_are_restored_until_they_are_forgotten() {
+        let directory = tempfile::tempdir().unwrap();
+        let (mut log, _) = open(directory.path());
+        let ended = |n: u64| EndedRequest {
+            id: format!("m{n}"),
+            expires_at: 1 << 50,
+            end: RequestEnd::HandedBack { retry_in_ms: n },
+        };
+        for number in 1..=3 {
+            log.append(number, &accepted(50)).unwrap();
+            log.append_completion(number, ended(number)).unwrap();
+        }
+        log.forget_ended(2);
+        log.compact().unwrap();
+        assert_eq!(log.length, log.live_bytes);
+        drop(log);
+        let (log, restored) = WriteAheadLog::open(directory.path(), CAPACITY, 8).unwrap();
+        assert_eq!(restored.ended, BTreeMap::from([(1, ended(1)), (3, ended(3))]));
+        assert_eq!((restored.messages.len(), restored.next_number()), (0, 4));
+        assert_eq!(log.length, log.live_bytes);
+    }
+
     #[test]
     fn a_truncated_file_restores_the_complete_records() {
         let directory = tempfile::tempdir().unwrap();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,4 +41,4 @@
 mod state;
 
 pub use interface::*;
-pub use policy::{DeliveryPolicy, FORMAT};
+pub use policy::{DeliveryPolicy, PreviousRequest, RequestEnd, RequestHistory, FORMAT};
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -22,11 +22,13 @@
 mod messages;
 mod outcomes;
 mod rates;
+mod request_history;
 mod selection;
 mod sending;
 mod state_transfer;
 mod timeouts;
 
+pub use request_history::{PreviousRequest, RequestEnd, RequestHistory};
 pub use state_transfer::FORMAT;
 pub(crate) use timeouts::ResponseTimes;
 
--- a/src/policy/state_transfer.rs
+++ b/src/policy/state_transfer.rs
@@ -4,7 +4,7 @@
 use crate::interface::Settings;
 
 /// Version of the transferred state. Must be raised whenever the layout or the meaning of the state changes.
-pub const FORMAT: u32 = 6;
+pub const FORMAT: u32 = 7;
 
 impl DeliveryPolicy {
     /// Serializes all that this replica knows: its messages and calls, the waits that destinations asked for,
