Reproduce that a start ends the process if its address or files are not to be had yet

After a kill the address of the clients may be taken for a moment, and the folder that lasts may fail. The process then ends with status 1 at its start, and the platform counts a crash.

--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -9,6 +9,7 @@
 mod hot_restart;
 mod log_output;
 mod repeated_requests;
+mod startup;
 mod unread_responses;
 
 use harness::*;
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -454,10 +454,15 @@
 
     /// Starts the forwarder again after [`Forwarder::kill`] or after it has exited.
     pub fn restart(&mut self) {
-        self.process = Forwarder::spawn(&self.directory);
+        self.start_process();
         self.wait_until_ready();
     }
 
+    /// As [`Forwarder::restart`], without waiting until the forwarder is ready.
+    pub fn start_process(&mut self) {
+        self.process = Forwarder::spawn(&self.directory);
+    }
+
     pub fn wait_for_exit(&mut self) -> ExitStatus {
         wait_for_exit(&mut self.process)
     }
