Try a start that fails again instead of ending the process

What callers saw: a process that started while its address was taken for a moment, or while its folder could not be used, ended by itself with status 1.

Cause: each error at the start was final.

Evidence: startup::* with real processes; 'Address already in use' and 'Not a directory' ended the process at once, now it serves as soon as the condition is over.

Why it works: the start is tried again every 0.1 s for 20 s, within the 30 s that the platform gives. The address is bound before messages are restored, so that these do not wait for it. The cached endpoint list is read in the same attempt: an error in that is no missing list.

--- a/src/bin/foldtrack/config.rs
+++ b/src/bin/foldtrack/config.rs
@@ -1,6 +1,5 @@
 //! Configuration of the forwarder: the environment and the configuration file.
 
-use crate::endpoint_list_cache;
 use hatchline::discovery::list::ServerList;
 use hatchline::settings::DeploymentSettings;
 use serde::Deserialize;
@@ -26,7 +25,7 @@
     pub disk_bytes: u64,
     /// Memory that the process may take up, in bytes.
     pub memory_bytes: u64,
-    /// Endpoint list to start with.
+    /// Endpoint list to start with: that of the configuration file, until the start finds a newer one.
     pub known_endpoints: ServerList,
     pub settings: Arc<DeploymentSettings>,
 }
@@ -112,7 +111,7 @@
             max_sockets: file.limits.sockets,
             disk_bytes,
             memory_bytes,
-            known_endpoints: endpoint_list_cache::load_newest(&state_directory, file.known),
+            known_endpoints: file.known,
             state_directory,
             settings: Arc::new(file.settings),
         })
--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -23,7 +23,7 @@
     AdminRequest, AdminResponse, CallEnd, EventSender, LifecycleStage, NodeEvent, ResponseGuard,
     SubmitResponse,
 };
-use crate::hot_restart::{self, LogLock, StartMode};
+use crate::hot_restart::{self, LogLock};
 use crate::interval_stats::{Gauges, IntervalStats, RecoveryStats, RefusalReason};
 use crate::memory_plan::MemoryPlan;
 use crate::memory_usage::MemoryUsage;
@@ -44,6 +44,7 @@
 };
 use hyper::StatusCode;
 use serde_json::json;
+use startup::ClientSocket;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::io;
 use std::net::SocketAddr;
@@ -51,12 +52,12 @@
 use std::os::unix::net::UnixStream;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::{oneshot, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep_until, timeout, Instant};
 
+mod startup;
 mod takeover;
 
 /// Upper bound on the events that one round handles.
@@ -217,7 +218,7 @@
 /// Takes over from a running process, or restores the state from the write-ahead log. Then runs the loop
 /// until the process is told to end or has handed over to a successor and has nothing left to do.
 pub(crate) async fn run(
-    config: Config, events: EventSender, mut receiver: UnboundedReceiver<NodeEvent>,
+    mut config: Config, events: EventSender, mut receiver: UnboundedReceiver<NodeEvent>,
 ) -> io::Result<ExitReason> {
     if let Some(address) = config.admin_address {
         tokio::spawn(admin_server::serve(address, events.clone()));
@@ -226,31 +227,20 @@
         hot_restart::state_format(&config.settings),
         hot_restart::takeover_socket_path(&config.state_directory),
     );
-    let (mut node, listener) = loop {
-        match hot_restart::acquire_ownership(&config.state_directory, &socket_path, &format).await? {
-            StartMode::ColdStart(lock) => break (Node::restore_from_log(&config, &events, lock)?, None),
-            StartMode::Takeover(offer) => match Node::take_over(&config, &events, *offer) {
-                Ok((node, listener)) => break (node, Some(listener)),
-                Err(error) => log::warn!("upgrade: cannot take over from the running process: {error}"),
-            },
-        }
-    };
+    let (mut node, socket) = startup::start(&mut config, &events, &socket_path, &format).await?;
     let discovery_client = discovery_client::build_client(&node.settings.settings, events.clone());
     let discovery_task = tokio::spawn(
         discovery_client.run(node.discovery_address.subscribe(), config.known_endpoints.known_version()),
     );
     let mut batch = Vec::new();
-    let listener = match listener {
-        Some(listener) => TcpListener::from_std(listener)?,
-        None => {
-            // The configured list may be outdated: restored messages could be sent to an endpoint that had
-            // been draining before the restart. Discovery responds at once unless it is down.
-            if let Ok(Some(first)) = timeout(FIRST_LIST_TIMEOUT, receiver.recv()).await {
-                batch.push(first);
-            }
-            TcpListener::bind(config.listen_address).await?
+    if matches!(socket, ClientSocket::Bound(_)) {
+        // The configured list may be outdated: restored messages could be sent to an endpoint that had been
+        // draining before the restart. Discovery responds at once unless it is down.
+        if let Ok(Some(first)) = timeout(FIRST_LIST_TIMEOUT, receiver.recv()).await {
+            batch.push(first);
         }
-    };
+    }
+    let listener = socket.listen()?;
     node.listener = Some(listener.as_fd().try_clone_to_owned()?);
     let (settings, clock, stage) = (node.settings.clone(), node.clock, node.stage.subscribe());
     let (overload, read_limiter) =
@@ -343,7 +333,7 @@
             recovery_stats: RecoveryStats::default(),
             metrics: Metrics::new(&config.settings.class_names),
             disabled_endpoints: DisabledEndpoints::open(&config.state_directory)?,
-            endpoint_list_cache: EndpointListCache::open(&config.state_directory, &config.known_endpoints),
+            endpoint_list_cache: EndpointListCache::new(&config.state_directory, &config.known_endpoints),
             accepting: false,
             target_ids: HashMap::new(),
             endpoints: Vec::new(),
