Soak the forwarder under drawn faults, eight seeds in each run of the tests

Real processes under what a seed draws: clients that keep their connections until the kill and repeat requests without an answer, kills and SIGHUPs in series, SIGTERM with a kill after 3.7 s, hot restarts, rejected notices, endpoints that reject, fail and hang, a crowd of peers in half of the runs and a client at full speed in a quarter. Checked: the process ends only when told, memory, descriptors and disk stay within the settings (both processes of a hot restart together), every accepted message ends, and none that must not be repeated runs twice.

--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -488,9 +488,12 @@
 
     /// The most memory that the process has had resident, in bytes.
     pub fn peak_memory(&self) -> u64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.process.id())).unwrap();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
-        line.split_whitespace().next().unwrap().parse::<u64>().unwrap() * 1024
+        memory(&self.process, "VmHWM:")
+    }
+
+    /// The memory that the process has resident, in bytes.
+    pub fn resident_memory(&self) -> u64 {
+        memory(&self.process, "VmRSS:")
     }
 
     pub fn connect(&self) -> ClientConnection {
@@ -505,6 +508,14 @@
     }
 }
 
+/// A value of the system's account of a process, in bytes; 0 once the process has ended.
+fn memory(process: &Child, name: &str) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", process.id())).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix(name));
+    let kib = line.map_or(0, |line| line.split_whitespace().next().unwrap().parse::<u64>().unwrap());
+    kib * 1024
+}
+
 fn signal(process: &Child, name: &str) {
     let pid = process.id().to_string();
     assert!(Command::new("kill").args(["-s", name, &pid]).status().unwrap().success());
@@ -542,6 +553,16 @@
 }
 
 impl OldProcess {
+    /// The memory that the process has resident, in bytes.
+    pub fn resident_memory(&self) -> u64 {
+        memory(&self.process, "VmRSS:")
+    }
+
+    /// Whether the process has ended, and not by success.
+    pub fn has_failed(&mut self) -> bool {
+        self.process.try_wait().unwrap().is_some_and(|status| !status.success())
+    }
+
     pub fn admin_request(&self, method: &str, path: &str) -> String {
         admin_request_at(self.admin_address, method, path)
     }
--- a/tests/peers/client_flood.rs
+++ b/tests/peers/client_flood.rs
@@ -15,7 +15,7 @@
 const PENDING_BYTES: usize = 32 * 1024;
 
 /// Sends requests as fast as its connection takes them, and reads the responses. Connects again when closed.
-struct FloodClient {
+pub struct FloodClient {
     stop: Arc<AtomicBool>,
     sent: Arc<AtomicU64>,
     thread: JoinHandle<()>,
@@ -23,7 +23,7 @@
 
 impl FloodClient {
     /// `request` makes the request of each number.
-    fn start(address: SocketAddr, request: impl Fn(u64) -> Vec<u8> + Send + 'static) -> FloodClient {
+    pub fn start(address: SocketAddr, request: impl Fn(u64) -> Vec<u8> + Send + 'static) -> FloodClient {
         let (stop, sent) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
         let (stopped, count) = (stop.clone(), sent.clone());
         let thread = thread::spawn(move || {
@@ -36,7 +36,7 @@
     }
 
     /// Stops the client. Returns the number of requests that it has made.
-    fn finish(self) -> u64 {
+    pub fn finish(self) -> u64 {
         self.stop.store(true, Ordering::Relaxed);
         self.thread.join().unwrap();
         self.sent.load(Ordering::Relaxed)
--- a/tests/peers/main.rs
+++ b/tests/peers/main.rs
@@ -7,6 +7,7 @@
 mod crowd;
 #[path = "../harness/mod.rs"]
 mod harness;
+mod soak;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
--- /dev/null
+++ b/tests/peers/soak.rs
@@ -0,0 +1,405 @@
+//! Runs of the forwarder under faults that a seed draws: clients that keep their connections until the process is killed
+//! and repeat requests without an answer, kills and signals in series, hot restarts, endpoints that reject, fail and
+//! hang, and in some runs a crowd of peers or a client at full speed. `SOAK_SEEDS` names the seeds as `FIRST-LAST`, eight
+//! by default, so that the run of all tests stays short.
+
+use crate::client_flood::FloodClient;
+use crate::crowd::{Crowd, Script};
+use crate::harness::*;
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, sleep, JoinHandle};
+use std::time::Duration;
+
+const DEFAULT_SEEDS: (u64, u64) = (1, 8);
+/// Runs at the same time.
+const PARALLEL_RUNS: usize = 4;
+const CLIENTS: usize = 6;
+const DESTINATIONS: u32 = 3;
+/// How long a client waits for its answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
+/// The earliest SIGKILL after SIGTERM, and the earliest start after a SIGKILL.
+const KILL_AFTER_TERMINATE: Duration = Duration::from_millis(3700);
+const START_AFTER_KILL: Duration = Duration::from_millis(600);
+const DISK_BYTES: u64 = 3_000_000;
+
+/// End of the ids of messages that must not run twice.
+const UNSAFE: &str = "-unsafe";
+/// Time of a run before its first fault, and between faults.
+const CALM: Duration = Duration::from_millis(1500);
+
+/// What an endpoint does with a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Treatment {
+    Served,
+    Rejected,
+    Failed,
+    Silent,
+}
+
+/// A call as its endpoint saw it.
+struct SeenCall {
+    id: String,
+    treatment: Treatment,
+}
+
+/// What the clients of a run know.
+#[derive(Default)]
+struct ClientRecord {
+    /// Ids of messages whose clients were told that they are accepted.
+    accepted: Vec<String>,
+    /// Answers by status; 0 for a connection that ended without one.
+    answers: BTreeMap<u16, usize>,
+}
+
+/// A fault that is played beside the clients.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    /// Kills in a series, each soon after the start before.
+    Kills(usize),
+    TerminateAndKill,
+    HotRestart,
+    Hangups(usize),
+    /// Discovery takes no notices for a while.
+    NoticesRejected,
+}
+
+/// What a seed draws.
+#[derive(Debug)]
+struct Plan {
+    seed: u64,
+    memory_mb: u64,
+    descriptors: u64,
+    /// Per cent of calls that are rejected, failed and left without an answer.
+    trouble: [u8; 3],
+    faults: Vec<Fault>,
+    crowd: Option<usize>,
+    has_flood: bool,
+}
+
+impl Plan {
+    fn new(seed: u64) -> Plan {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let faults = [
+            Fault::Kills(random.usize(2..4)),
+            Fault::TerminateAndKill,
+            Fault::HotRestart,
+            Fault::Hangups(random.usize(5..30)),
+            Fault::NoticesRejected,
+        ];
+        Plan {
+            seed,
+            memory_mb: [32, 32, 48, 192][random.usize(..4)],
+            descriptors: [256, 384, 1024][random.usize(..3)],
+            trouble: [random.u8(..10), random.u8(..6), random.u8(..4)],
+            faults: (0..2).map(|_| faults[random.usize(..faults.len())]).collect(),
+            crowd: random.bool().then(|| random.usize(..4)),
+            has_flood: random.u8(..4) == 0,
+        }
+    }
+
+    fn configure(&self, config: &mut Value) {
+        config["limits"]["memory_mb"] = self.memory_mb.into();
+        config["limits"]["sockets"] = self.descriptors.into();
+    }
+}
+
+fn crowd_script(kind: usize) -> Script {
+    let head = |length: usize| {
+        format!(
+            "POST /fee HTTP/1.1\r\nHost: f\r\nX-Request-Id: crowd\r\nX-Deadline: 9000m\r\nX-Consignee: dest=1\r\n\
+             Content-Length: {length}\r\n\r\n"
+        )
+    };
+    let long_field = "x".repeat(60_000);
+    let start = match kind {
+        0 => "GET /healthz HTTP/1.1\r\nHost: f\r\n\r\n".to_string(),
+        1 => head(64_000) + &long_field,
+        2 => format!("POST /fee HTTP/1.1\r\nX-Long: {long_field}"),
+        _ => head(64_000),
+    };
+    let pieces = if kind == 3 { 64_000 } else { 0 };
+    Script { start: start.into(), piece: b"x".into(), pieces }
+}
+
+/// Endpoints that draw what they do with each call.
+fn start_targets(plan: &Plan, calls: &Arc<Mutex<Vec<SeenCall>>>) -> Vec<Arc<HttpServer>> {
+    (0..DESTINATIONS)
+        .map(|destination| {
+            let random = Mutex::new(fastrand::Rng::with_seed(plan.seed * 31 + u64::from(destination)));
+            let ([rejected, failed, silent], calls) = (plan.trouble, calls.clone());
+            HttpServer::start(move |request| {
+                let (draw, delay) = {
+                    let mut random = random.lock().unwrap();
+                    (random.u8(..100), Duration::from_millis(random.u64(5..60)))
+                };
+                let treatment = if draw < rejected {
+                    Treatment::Rejected
+                } else if draw < rejected + failed {
+                    Treatment::Failed
+                } else if draw < rejected + failed + silent {
+                    Treatment::Silent
+                } else {
+                    Treatment::Served
+                };
+                calls.lock().unwrap().push(SeenCall { id: request.message_id().into(), treatment });
+                match treatment {
+                    Treatment::Served => Response::Delayed(delay, 200),
+                    Treatment::Rejected => Response::Delayed(delay, 503),
+                    Treatment::Failed => Response::Delayed(delay, 500),
+                    Treatment::Silent => Response::Silent,
+                }
+            })
+        })
+        .collect()
+}
+
+/// A client that keeps its connection and repeats a request that got no answer.
+struct Client {
+    address: SocketAddr,
+    random: fastrand::Rng,
+    stream: Option<TcpStream>,
+    record: ClientRecord,
+}
+
+impl Client {
+    /// Sends a request and returns the status of its answer; `None` if the connection ends or the time is over.
+    fn exchange(&mut self, request: &[u8]) -> Option<u16> {
+        let stream = self.stream.take().or_else(|| TcpStream::connect(self.address).ok());
+        let Some(mut stream) = stream else {
+            sleep(Duration::from_millis(20));
+            return None;
+        };
+        stream.set_read_timeout(Some(ANSWER_TIMEOUT)).unwrap();
+        stream.write_all(request).ok()?;
+        let mut head = Vec::new();
+        let mut byte = [0];
+        while !head.ends_with(b"\r\n\r\n") {
+            stream.read(&mut byte).ok().filter(|n| *n > 0)?;
+            head.extend(byte);
+        }
+        let head = String::from_utf8(head).unwrap().to_lowercase();
+        if !head.contains("connection: close") {
+            self.stream = Some(stream);
+        }
+        head.split(' ').nth(1)?.parse().ok()
+    }
+
+    /// Submits the next message. The end of its id tells whether it may run twice.
+    fn submit(&mut self, prefix: &str) {
+        let is_unsafe = self.random.bool();
+        let id = &format!("{prefix}{}", if is_unsafe { UNSAFE } else { "-keyed" });
+        let deadline_ms = self.random.u64(2_000..5_000);
+        let destination = self.random.u32(1..=DESTINATIONS);
+        let body = vec![b'x'; self.random.usize(..400)];
+        let message = if is_unsafe {
+            fee_message(id)
+        } else {
+            update_message(id, &format!("k{}", self.random.u8(..20)))
+        };
+        let message = message.to(destination).with_deadline_ms(deadline_ms).with_body(body);
+        let request =
+            String::from_utf8(message.bytes()).unwrap().replace("Connection: close\r\n", "").into_bytes();
+        // A request without an answer comes again under its id.
+        for _ in 0..2 {
+            let answer = self.exchange(&request);
+            *self.record.answers.entry(answer.unwrap_or(0)).or_default() += 1;
+            match answer {
+                Some(200 | 202) => return self.record.accepted.push(id.into()),
+                Some(_) => return,
+                None => {}
+            }
+        }
+    }
+}
+
+fn start_clients(plan: &Plan, address: SocketAddr, stop: &Arc<AtomicBool>) -> Vec<JoinHandle<ClientRecord>> {
+    (0..CLIENTS)
+        .map(|number| {
+            let (stop, seed) = (stop.clone(), plan.seed);
+            thread::spawn(move || {
+                let random = fastrand::Rng::with_seed(seed * 1000 + number as u64);
+                let mut client = Client { address, random, stream: None, record: ClientRecord::default() };
+                let mut count = 0;
+                while !stop.load(Ordering::Relaxed) {
+                    count += 1;
+                    client.submit(&format!("s{seed}-c{number}-{count}"));
+                    sleep(Duration::from_millis(client.random.u64(20..120)));
+                }
+                client.record
+            })
+        })
+        .collect()
+}
+
+/// The forwarder of a run and what it must keep to at any time.
+struct Run {
+    plan: Plan,
+    discovery: DiscoveryServer,
+    forwarder: Forwarder,
+    random: fastrand::Rng,
+}
+
+impl Run {
+    fn check_limits(&mut self) {
+        assert!(self.forwarder.is_running(), "the process ended by itself: {:?}", self.plan);
+        let peak = self.forwarder.peak_memory();
+        assert!(peak <= self.plan.memory_mb * 1_000_000, "{peak} bytes of memory: {:?}", self.plan);
+        let descriptors = self.forwarder.open_descriptors() as u64;
+        assert!(descriptors <= self.plan.descriptors, "{descriptors} descriptors: {:?}", self.plan);
+        let disk_usage = self.forwarder.disk_usage();
+        assert!(disk_usage <= DISK_BYTES, "{disk_usage} bytes on disk: {:?}", self.plan);
+    }
+
+    fn play(&mut self, fault: Fault) {
+        self.check_limits();
+        match fault {
+            Fault::Kills(count) => (0..count).for_each(|_| self.kill_and_start()),
+            Fault::TerminateAndKill => {
+                self.forwarder.signal("TERM");
+                sleep(KILL_AFTER_TERMINATE);
+                self.forwarder.kill();
+                sleep(START_AFTER_KILL);
+                self.forwarder.restart();
+            }
+            Fault::HotRestart => self.hot_restart(),
+            Fault::Hangups(count) => (0..count).for_each(|_| self.forwarder.signal("HUP")),
+            Fault::NoticesRejected => {
+                self.discovery.reject_notices(true);
+                sleep(Duration::from_millis(self.random.u64(200..1_500)));
+                self.discovery.reject_notices(false);
+            }
+        }
+    }
+
+    fn kill_and_start(&mut self) {
+        self.check_limits();
+        self.forwarder.kill();
+        sleep(START_AFTER_KILL);
+        self.forwarder.restart();
+        sleep(Duration::from_millis(self.random.u64(..800)));
+    }
+
+    fn hot_restart(&mut self) {
+        let mut old = self.forwarder.start_successor();
+        wait_until("the successor is ready", || {
+            self.forwarder.admin_request("GET", "/-/ready").starts_with("HTTP/1.1 200")
+        });
+        let together = old.resident_memory() + self.forwarder.resident_memory();
+        assert!(together <= self.plan.memory_mb * 1_000_000, "{together} bytes together: {:?}", self.plan);
+        old.signal("TERM");
+        sleep(KILL_AFTER_TERMINATE);
+        assert!(!old.has_failed(), "the old process failed: {:?}", self.plan);
+    }
+}
+
+/// No message that must not be repeated has run twice.
+fn check_runs(plan: &Plan, calls: &[SeenCall]) {
+    let mut ran: BTreeMap<&str, usize> = BTreeMap::new();
+    for call in calls.iter().filter(|call| call.treatment != Treatment::Rejected) {
+        *ran.entry(&call.id).or_default() += 1;
+    }
+    for (id, count) in ran.iter().filter(|(id, _)| id.ends_with(UNSAFE)) {
+        assert!(*count <= 1, "{id} ran {count} times: {plan:?}");
+    }
+}
+
+fn play_seed(seed: u64) {
+    let plan = Plan::new(seed);
+    let calls = Arc::new(Mutex::new(Vec::new()));
+    let targets = start_targets(&plan, &calls);
+    let entries = (1..).zip(&targets).map(|(destination, target)| {
+        list_entry(&format!("s-{destination}"), target.address, destination, "active")
+    });
+    let discovery = DiscoveryServer::start(entries.collect());
+    let forwarder = Forwarder::start_with(&discovery, |config| plan.configure(config));
+    let address = forwarder.listen_address;
+    let stop = Arc::new(AtomicBool::new(false));
+    let clients = start_clients(&plan, address, &stop);
+    let crowd = plan.crowd.map(|kind| {
+        let count = plan.descriptors as usize / 2;
+        Crowd::start(address, count, crowd_script(kind))
+    });
+    let flood = plan.has_flood.then(|| {
+        FloodClient::start(address, move |n| {
+            let message = fee_message(&format!("s{seed}-flood-{n}{UNSAFE}")).with_deadline_ms(2_000);
+            String::from_utf8(message.bytes()).unwrap().replace("Connection: close\r\n", "").into_bytes()
+        })
+    });
+    let faults = plan.faults.clone();
+    let mut run = Run { plan, discovery, forwarder, random: fastrand::Rng::with_seed(seed) };
+    for fault in faults {
+        sleep(CALM);
+        run.play(fault);
+    }
+    sleep(CALM);
+    run.check_limits();
+    let flood_requests = flood.map(FloodClient::finish);
+    drop(crowd);
+    stop.store(true, Ordering::Relaxed);
+    let records: Vec<_> = clients.into_iter().map(|client| client.join().unwrap()).collect();
+    wait_until("all messages have ended", || {
+        let metrics = run.forwarder.admin_request("GET", "/-/metrics");
+        metrics.contains("\nactive=0\n")
+    });
+    // The notices of the last messages arrive behind their ends.
+    wait_until("all accepted messages have ended", || {
+        let delivered = calls.lock().unwrap();
+        let served = delivered.iter().filter(|call: &&SeenCall| call.treatment == Treatment::Served);
+        let served: BTreeSet<&str> = served.map(|call| call.id.as_str()).collect();
+        let notices = run.discovery.notices();
+        let noticed: BTreeSet<&str> = notices.iter().map(|(id, _)| id.as_str()).collect();
+        let mut accepted = records.iter().flat_map(|record| &record.accepted);
+        accepted.all(|id| served.contains(id.as_str()) || noticed.contains(id.as_str()))
+    });
+    run.check_limits();
+    check_runs(&run.plan, &calls.lock().unwrap());
+    let accepted: usize = records.iter().map(|record| record.accepted.len()).sum();
+    let mut answers: BTreeMap<u16, usize> = BTreeMap::new();
+    for (status, count) in records.iter().flat_map(|record| &record.answers) {
+        *answers.entry(*status).or_default() += count;
+    }
+    println!(
+        "seed {seed}: {accepted} accepted, answers {answers:?}, peak memory {} of {} MB, flood {flood_requests:?}: {:?}",
+        run.forwarder.peak_memory() / 1_000_000,
+        run.plan.memory_mb,
+        run.plan
+    );
+}
+
+/// The seeds that `SOAK_SEEDS` names.
+fn seeds() -> std::ops::RangeInclusive<u64> {
+    let (first, last) = match std::env::var("SOAK_SEEDS") {
+        Ok(text) => {
+            let (first, last) = text.split_once('-').expect("SOAK_SEEDS is FIRST-LAST");
+            (first.parse().unwrap(), last.parse().unwrap())
+        }
+        Err(_) => DEFAULT_SEEDS,
+    };
+    first..=last
+}
+
+#[test]
+fn messages_end_once_and_limits_hold_under_faults() {
+    let _lock = crate::lock();
+    let waiting = Mutex::new(seeds());
+    let next_seed = || waiting.lock().unwrap().next();
+    let failed = Mutex::new(Vec::new());
+    thread::scope(|scope| {
+        for _ in 0..PARALLEL_RUNS {
+            scope.spawn(|| {
+                while let Some(seed) = next_seed() {
+                    if std::panic::catch_unwind(|| play_seed(seed)).is_err() {
+                        failed.lock().unwrap().push(seed);
+                    }
+                }
+            });
+        }
+    });
+    let failed = failed.into_inner().unwrap();
+    assert!(failed.is_empty(), "failed seeds: {failed:?}");
+}
