Convert the entries of a list one by one, and bound its length by the memory

Cause: a list was converted as a whole from JSON values, which take several times its memory, and its length was bounded by a constant of 4 MiB whatever the memory is.

Evidence: lists_of_very_many_endpoints_stay_within_the_memory_limit failed before (63.5 MB) and passes (9.2 MB: the list is dropped with a log line, the one before stays in force).

--- a/src/bin/foldtrack/calls.rs
+++ b/src/bin/foldtrack/calls.rs
@@ -151,8 +151,8 @@
             end.response_truncated = true;
             let read = async {
                 let body = connection.read_body(response.into_body(), MAX_BODY_BYTES).await;
-                end.response_truncated = body.is_none();
-                body.is_some() && connection.is_ready_again().await
+                end.response_truncated = body.is_err();
+                body.is_ok() && connection.is_ready_again().await
             };
             let reusable = timeout(BODY_TIMEOUT, read).await.unwrap_or(false);
             end.connection = reusable.then_some(connection);
--- a/src/bin/foldtrack/connection.rs
+++ b/src/bin/foldtrack/connection.rs
@@ -2,7 +2,7 @@
 //! written completely.
 
 use crate::exchange::Exchange;
-use crate::http_body::{read_to_end, Unshared};
+use crate::http_body::{read_to_end, BodyError, Unshared};
 use crate::message::Message;
 use crate::streams::{ObservedStream, StreamObserver};
 use bytes::Bytes;
@@ -191,8 +191,8 @@
     }
 
     /// Reads a response body to its end.
-    pub async fn read_body(&mut self, body: Incoming, limit: usize) -> Option<Bytes> {
-        read_to_end(body, limit, &mut Unshared).await.ok()
+    pub async fn read_body(&mut self, body: Incoming, limit: usize) -> Result<Bytes, BodyError> {
+        read_to_end(body, limit, &mut Unshared).await
     }
 
     /// Waits until the connection is ready for the next request. Returns false if it is closed: the peer has closed it,
--- a/src/bin/foldtrack/discovery_client.rs
+++ b/src/bin/foldtrack/discovery_client.rs
@@ -3,6 +3,7 @@
 
 use crate::connection::{HttpConnection, RequestBody, SendError};
 use crate::events::{EventSender, NodeEvent};
+use crate::http_body::BodyError;
 use bytes::Bytes;
 use hatchline::discovery::{Client, ClientOptions, DiscoveryEvent};
 use hatchline::discovery::{ListRequest, Reply, Transport, TransportError};
@@ -17,15 +18,13 @@
 use std::task::{ready, Poll};
 use tokio::sync::oneshot;
 
-/// Longest body of a reply.
-const MAX_LIST_BYTES: usize = 4 << 20;
-
-/// Creates a client that reports each list to the node. The caller runs it.
+/// Creates a client that reports each list of at most `max_list_bytes` to the node. The caller runs it.
 pub(crate) fn build_client(
-    settings: &Settings, events: EventSender,
+    settings: &Settings, max_list_bytes: usize, events: EventSender,
 ) -> Client<HttpTransport, impl FnMut(DiscoveryEvent) + Send> {
     let unhandled_list = UnhandledList::default();
-    let transport = HttpTransport { connection: None, unhandled_list: unhandled_list.clone() };
+    let transport =
+        HttpTransport { connection: None, unhandled_list: unhandled_list.clone(), max_list_bytes };
     let on_event = move |event| match event {
         DiscoveryEvent::List(list) => {
             let (_handled, handled) = oneshot::channel();
@@ -72,10 +71,12 @@
 /// Transport over one HTTP connection. The request that tells discovery that a list has arrived waits until the node has
 /// handled the list: a kill after that request must not bring back the list before, and lists that come faster than they
 /// are handled must not queue up.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct HttpTransport {
     connection: Option<HttpConnection>,
     unhandled_list: UnhandledList,
+    /// Longest body of a reply.
+    max_list_bytes: usize,
 }
 
 impl HttpTransport {
@@ -104,8 +105,13 @@
         self.unhandled_list.wait().await;
         let (mut connection, response) = self.send(address, request).await?;
         let (status, closes) = (response.status(), closes_connection(&response));
-        let body = connection.read_body(response.into_body(), MAX_LIST_BYTES).await;
-        let body = body.ok_or(TransportError::Interrupted)?;
+        let body = connection.read_body(response.into_body(), self.max_list_bytes).await;
+        let body = body.map_err(|error| {
+            if error == BodyError::TooLong {
+                log::warn!("discovery: reply longer than {} bytes dropped", self.max_list_bytes);
+            }
+            TransportError::Interrupted
+        })?;
         // The reply is complete and counts, whatever becomes of its connection.
         if !closes && connection.is_ready_again().await {
             self.connection = Some(connection);
--- a/src/bin/foldtrack/memory_plan.rs
+++ b/src/bin/foldtrack/memory_plan.rs
@@ -14,6 +14,10 @@
 /// Largest write-ahead log, as a share of the memory. Half of it may be live: accepted messages, which are in memory as
 /// messages, as frames of the log, and once more during a compaction.
 const WRITE_AHEAD_LOG_SHARE: f64 = 1.0 / 8.0;
+/// Longest endpoint list, as a share of the memory: while it replaces the one before, it takes many times its bytes.
+const LIST_SHARE: f64 = 1.0 / 32.0;
+/// Longest endpoint list where there is memory for more.
+const MAX_LIST_BYTES: usize = 4 << 20;
 
 /// Upper bounds that follow from the memory of the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,6 +27,8 @@
     pub body_bytes: usize,
     pub idle_connections: usize,
     pub write_ahead_log_bytes: u64,
+    /// Longest endpoint list in bytes.
+    pub list_bytes: usize,
 }
 
 impl MemoryPlan {
@@ -33,6 +39,7 @@
             body_bytes: (memory * BODY_SHARE) as usize,
             idle_connections: (memory * IDLE_CONNECTION_SHARE / IDLE_CONNECTION_BYTES) as usize,
             write_ahead_log_bytes: (memory * WRITE_AHEAD_LOG_SHARE) as u64,
+            list_bytes: ((memory * LIST_SHARE) as usize).min(MAX_LIST_BYTES),
         }
     }
 }
--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -228,7 +228,9 @@
         hot_restart::takeover_socket_path(&config.state_directory),
     );
     let (mut node, socket) = startup::start(&mut config, &events, &socket_path, &format).await?;
-    let discovery_client = discovery_client::build_client(&node.settings.settings, events.clone());
+    let max_list_bytes = MemoryPlan::new(config.memory_bytes).list_bytes;
+    let discovery_client =
+        discovery_client::build_client(&node.settings.settings, max_list_bytes, events.clone());
     let discovery_task = tokio::spawn(
         discovery_client.run(node.discovery_address.subscribe(), config.known_endpoints.known_version()),
     );
--- a/src/discovery/list.rs
+++ b/src/discovery/list.rs
@@ -1,7 +1,9 @@
 //! The endpoint list and its changes, as discovery serves them in JSON.
 
+use serde::de::{SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer, Serialize};
 use serde_json::Value;
+use std::fmt;
 use std::net::SocketAddr;
 
 /// A full list of endpoints, or the entries that changed since a version.
@@ -24,15 +26,31 @@
     }
 }
 
-/// Skips invalid entries, so that one of them does not hold up the rest of the list, drains included.
+/// Skips invalid entries, so that one of them does not hold up the rest of the list, drains included. Entries are
+/// converted one by one: as JSON values, those of a long list would take several times the memory of the list.
 fn valid_entries<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<ServerEntry>, D::Error> {
-    let entries = Vec::<Value>::deserialize(deserializer)?;
-    let parse = |entry: Value| {
-        ServerEntry::deserialize(&entry)
-            .inspect_err(|e| log::warn!("discovery: invalid list entry {entry} skipped: {e}"))
-            .ok()
-    };
-    Ok(entries.into_iter().filter_map(parse).collect())
+    deserializer.deserialize_seq(ValidEntries)
+}
+
+struct ValidEntries;
+
+impl<'de> Visitor<'de> for ValidEntries {
+    type Value = Vec<ServerEntry>;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        formatter.write_str("a list of endpoints")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut sequence: A) -> Result<Self::Value, A::Error> {
+        let mut entries = Vec::new();
+        while let Some(entry) = sequence.next_element::<Value>()? {
+            match ServerEntry::deserialize(&entry) {
+                Ok(valid) => entries.push(valid),
+                Err(error) => log::warn!("discovery: invalid list entry {entry} skipped: {error}"),
+            }
+        }
+        Ok(entries)
+    }
 }
 
 /// An endpoint in the list.
--- a/tests/peers/client_memory.rs
+++ b/tests/peers/client_memory.rs
@@ -142,3 +142,21 @@
     stop.store(true, Ordering::Relaxed);
     assert_within_memory_limit(&mut forwarder);
 }
+
+/// A list of far more endpoints than the memory has room for, and the one that the process has.
+#[test]
+fn lists_of_very_many_endpoints_stay_within_the_memory_limit() {
+    const ENDPOINTS: u32 = 25_000;
+    let _lock = crate::lock();
+    let (target, discovery, mut forwarder) = start_with_little_memory();
+    for _ in 0..3 {
+        let entries = (0..ENDPOINTS)
+            .map(|n| list_entry(&format!("s-{n:08x}"), target.address, n % 5_000, "active"))
+            .collect();
+        discovery.change_list(entries);
+        sleep(CROWD_TIME / 3);
+    }
+    assert_eq!(forwarder.submit(&fee_message("m1")), 202);
+    wait_until("the target receives the call", || target.message_ids() == ["m1"]);
+    assert_within_memory_limit(&mut forwarder);
+}
