Let the client with most ended requests lose its own when they do not fit

What callers saw: beside one client that submits messages under new ids at full speed, a request of another client that came again ran again.

Cause: where the history of requests is full, it forgot the earliest deadlines, which are those of others.

Why it works: ended requests are kept by the connection on which they arrived, and the one with most of them loses its earliest. Those that a restart restores, or that another process received, count as one client.

--- a/src/bin/foldtrack/client_server.rs
+++ b/src/bin/foldtrack/client_server.rs
@@ -399,7 +399,8 @@
         return Ok(refusal_response(wait.div_ceil(1000)));
     }
     let (reply, response) = oneshot::channel();
-    context.events.send(NodeEvent::Submit { message: Arc::new(message), reply });
+    let (message, client) = (Arc::new(message), permit.number());
+    context.events.send(NodeEvent::Submit { message, client, reply });
     match response.await {
         Ok(SubmitResponse::Accepted(response_guard)) => {
             state.progress().response_guard = Some(response_guard);
--- a/src/bin/foldtrack/client_server_tests.rs
+++ b/src/bin/foldtrack/client_server_tests.rs
@@ -155,7 +155,7 @@
     tokio::spawn(serve_client(server_side, context, permit, Duration::from_millis(300)));
     for queue_time in [300_000, 0] {
         client.write_all(REQUEST).await.unwrap();
-        let Some(NodeEvent::Submit { message, reply }) = receiver.recv().await else {
+        let Some(NodeEvent::Submit { message, reply, .. }) = receiver.recv().await else {
             panic!("no message was submitted")
         };
         assert_eq!(message.expires_at, now - queue_time + 9_000_000, "only the first waited in the queue");
--- a/src/bin/foldtrack/connection_limit.rs
+++ b/src/bin/foldtrack/connection_limit.rs
@@ -117,6 +117,11 @@
         self.ticket.leave();
     }
 
+    /// Number of the connection, from 1 in the order of arrival.
+    pub fn number(&self) -> u64 {
+        self.ticket.number()
+    }
+
     /// Called by a connection that is told to close. If it has become active meanwhile, the next candidate is
     /// evicted in its place. Returns whether the connection may stay open.
     pub fn decline_eviction(&self) -> bool {
--- a/src/bin/foldtrack/draining.rs
+++ b/src/bin/foldtrack/draining.rs
@@ -13,7 +13,7 @@
 use crate::metrics::{MessageResult, Metrics};
 use crate::write_ahead_log::AcceptedMessage;
 use hatchline::settings::DeploymentSettings;
-use hatchline::{EndpointCounts, LimitReport, Outcome, TargetId};
+use hatchline::{EndpointCounts, LimitReport, Outcome, TargetId, UNKNOWN_CLIENT};
 use hyper::StatusCode;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -179,7 +179,8 @@
                     Some(OldProcessFrame::Submit { request, accepted }) => {
                         let message = Message::from_accepted(accepted, &settings, &clock);
                         let (reply, response) = oneshot::channel();
-                        events.send(NodeEvent::Submit { message: Arc::new(message), reply });
+                        let (message, client) = (Arc::new(message), UNKNOWN_CLIENT);
+                        events.send(NodeEvent::Submit { message, client, reply });
                         let command_sender = command_sender.clone();
                         tokio::spawn(async move {
                             if let Ok(response) = response.await {
@@ -265,7 +266,7 @@
             tokio::select! {
                 biased;
                 Some(event) = receiver.recv() => match event {
-                    NodeEvent::Submit { message, reply } => {
+                    NodeEvent::Submit { message, reply, .. } => {
                         last_request += 1;
                         replies.insert(last_request, reply);
                         let accepted = message.to_accepted(&self.settings, &self.clock);
--- a/src/bin/foldtrack/events.rs
+++ b/src/bin/foldtrack/events.rs
@@ -4,7 +4,7 @@
 use crate::connection::HttpConnection;
 use crate::message::Message;
 use hatchline::discovery::list::ServerList;
-use hatchline::{LimitReport, Outcome, TargetId};
+use hatchline::{ClientId, LimitReport, Outcome, TargetId};
 use hyper::StatusCode;
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
@@ -74,6 +74,8 @@
     /// A client submits a message.
     Submit {
         message: Arc<Message>,
+        /// The connection on which it arrived.
+        client: ClientId,
         reply: oneshot::Sender<SubmitResponse>,
     },
     /// The response that accepts a message has been written, or the client disconnected first.
--- a/src/bin/foldtrack/eviction.rs
+++ b/src/bin/foldtrack/eviction.rs
@@ -7,7 +7,7 @@
 
 #[derive(Default)]
 struct Candidates {
-    next_number: u64,
+    last_number: u64,
     /// Signals of the candidates in the order of their arrival.
     signals: BTreeMap<u64, oneshot::Sender<()>>,
 }
@@ -32,8 +32,8 @@
     pub fn enter(&self) -> (EvictionTicket, oneshot::Receiver<()>) {
         let (signal, evicted) = oneshot::channel();
         let mut candidates = self.candidates();
-        let number = candidates.next_number;
-        candidates.next_number += 1;
+        candidates.last_number += 1;
+        let number = candidates.last_number;
         candidates.signals.insert(number, signal);
         (EvictionTicket { number, queue: self.clone() }, evicted)
     }
@@ -47,6 +47,11 @@
 }
 
 impl EvictionTicket {
+    /// Number of the candidate, from 1 in the order of arrival.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
     /// Leaves the queue: the holder keeps its resource.
     pub fn leave(&self) {
         self.queue.candidates().signals.remove(&self.number);
--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -33,14 +33,14 @@
 use crate::report_client::ReportClient;
 use crate::unread_responses::UnreadResponses;
 use crate::write_ahead_log::{
-    EndedRequest, ExecutionStatus, LogRecord, NonDeliveryNotice, RestoredLog, RestoredMessage, WriteAheadLog,
+    ExecutionStatus, LogRecord, NonDeliveryNotice, RecordedEnd, RestoredLog, RestoredMessage, WriteAheadLog,
     ENDED_REQUESTS_DIVISOR,
 };
 use hatchline::discovery::list::{ServerList, ServerState};
 use hatchline::settings::DeploymentSettings;
 use hatchline::{
-    Action, DeliveryPolicy, Endpoint, EndpointState, Event, ListKind, Micros, Outcome, PreviousRequest,
-    RequestEnd, RequestHistory, TargetId,
+    Action, ClientId, DeliveryPolicy, EndedRequest, Endpoint, EndpointState, Event, ListKind, Micros,
+    Outcome, PreviousRequest, RequestEnd, RequestHistory, TargetId, UNKNOWN_CLIENT,
 };
 use hyper::StatusCode;
 use serde_json::json;
@@ -103,6 +103,8 @@
 /// A message that is held until it is delivered or ends undelivered.
 struct HeldMessage {
     message: Arc<Message>,
+    /// The connection on which it arrived.
+    client: ClientId,
     acceptance: Acceptance,
     /// Responses that are being written.
     pending_responses: u32,
@@ -353,8 +355,10 @@
             overload: OverloadMonitor::default(),
             actions: Vec::new(),
         };
-        for (number, EndedRequest { id, expires_at, end }) in ended {
-            node.record_request_end(number, &id, clock.micros_at_unix(expires_at), end);
+        for (number, RecordedEnd { id, expires_at, end }) in ended {
+            let deadline = clock.micros_at_unix(expires_at);
+            let ended = EndedRequest { client: UNKNOWN_CLIENT, message: number, deadline, end };
+            node.record_request_end(&id, ended);
         }
         Ok((node, restored))
     }
@@ -433,7 +437,7 @@
 
     fn handle_event(&mut self, event: NodeEvent) {
         match event {
-            NodeEvent::Submit { message, reply } => self.submit(message, reply),
+            NodeEvent::Submit { message, client, reply } => self.submit(message, client, reply),
             NodeEvent::ResponseEnded { number, written } => self.response_ended(number, written),
             NodeEvent::RefusedLate { class } => {
                 self.interval_stats.refused_late += 1;
@@ -560,7 +564,9 @@
                 accepted: true,
                 pending_responses: 0,
             };
-            self.record_request_end(number, &pending.id, pending.expires_at, request_end(notice));
+            let (deadline, end) = (pending.expires_at, request_end(notice));
+            let ended = EndedRequest { client: UNKNOWN_CLIENT, message: number, deadline, end };
+            self.record_request_end(&pending.id, ended);
             self.pending_notices.insert(number, pending);
             self.unsent_notices.insert(number);
             return;
@@ -572,6 +578,7 @@
         self.request_history.hold(&message.id, number);
         let held = HeldMessage {
             message: Arc::new(message),
+            client: UNKNOWN_CLIENT,
             acceptance: Acceptance::Accepted,
             pending_responses: 0,
             attempts: attempts.len() as u32,
@@ -602,7 +609,7 @@
         });
     }
 
-    fn submit(&mut self, message: Arc<Message>, reply: oneshot::Sender<SubmitResponse>) {
+    fn submit(&mut self, message: Arc<Message>, client: ClientId, reply: oneshot::Sender<SubmitResponse>) {
         if let Some(previous) = self.request_history.previous(&message.id) {
             self.interval_stats.repeated_requests += 1;
             return self.answer_repeated_request(previous, reply);
@@ -630,6 +637,7 @@
             id,
             HeldMessage {
                 message,
+                client,
                 acceptance: Acceptance::Undecided(vec![reply]),
                 pending_responses: 0,
                 attempts: 0,
@@ -668,8 +676,8 @@
     }
 
     /// Remembers how the request of a message has ended.
-    fn record_request_end(&mut self, number: u64, id: &str, expires_at: Micros, end: RequestEnd) {
-        for forgotten in self.request_history.end(id, number, expires_at, end) {
+    fn record_request_end(&mut self, id: &str, ended: EndedRequest) {
+        for forgotten in self.request_history.end(id, ended) {
             self.write_ahead_log.forget_ended(forgotten);
         }
     }
@@ -900,8 +908,9 @@
                 );
                 let request_end = if delivered { RequestEnd::Delivered } else { RequestEnd::GivenUp };
                 let Message { id, expires_at, .. } = &*held.message;
-                self.record_request_end(end.number, id, *expires_at, request_end);
-                self.append_completion(end.number, id.clone(), *expires_at, request_end);
+                let (client, message, deadline) = (held.client, end.number, *expires_at);
+                self.record_request_end(id, EndedRequest { client, message, deadline, end: request_end });
+                self.append_completion(end.number, id.clone(), deadline, request_end);
             }
         } else if held && started {
             let execution =
@@ -946,7 +955,7 @@
     fn append_completion(&mut self, number: u64, id: String, expires_at: Micros, end: RequestEnd) {
         let expires_at = self.clock.unix_micros_at(expires_at);
         if let Err(error) =
-            self.write_ahead_log.append_completion(number, EndedRequest { id, expires_at, end })
+            self.write_ahead_log.append_completion(number, RecordedEnd { id, expires_at, end })
         {
             log::warn!("journal: cannot write a record: {error}");
         }
@@ -984,7 +993,8 @@
             accepted: matches!(held.acceptance, Acceptance::Accepted),
             pending_responses: held.pending_responses,
         };
-        self.record_request_end(number, &pending.id, pending.expires_at, request_end(notice));
+        let (client, deadline, end) = (held.client, pending.expires_at, request_end(notice));
+        self.record_request_end(&pending.id, EndedRequest { client, message: number, deadline, end });
         self.pending_notices.insert(number, pending);
         self.unsent_notices.insert(number);
     }
--- a/src/bin/foldtrack/node/takeover.rs
+++ b/src/bin/foldtrack/node/takeover.rs
@@ -12,7 +12,7 @@
 use crate::hot_restart::{self, MessageState, TakeoverOffer, TakeoverState};
 use crate::message::Message;
 use crate::write_ahead_log::RestoredMessage;
-use hatchline::{DeliveryPolicy, Event, TargetId};
+use hatchline::{DeliveryPolicy, Event, TargetId, UNKNOWN_CLIENT};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::TcpListener as StdListener;
@@ -73,7 +73,8 @@
                 decided_at,
             });
             self.request_history.hold(&message.id, number);
-            let held = HeldMessage { message, acceptance, pending_responses, attempts, pending_send };
+            let client = UNKNOWN_CLIENT;
+            let held = HeldMessage { message, client, acceptance, pending_responses, attempts, pending_send };
             self.messages.insert(number, held);
         }
         // The other messages have ended, and their notices are not acknowledged yet.
--- a/src/bin/foldtrack/write_ahead_log.rs
+++ b/src/bin/foldtrack/write_ahead_log.rs
@@ -71,12 +71,12 @@
     Completed,
     /// How the request of a completed message has ended, for the case that it comes again. It follows the record of the
     /// completion, which versions that do not know this one need.
-    Ended(EndedRequest),
+    Ended(RecordedEnd),
 }
 
 /// A request whose message is completed. Times are Unix time in microseconds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct EndedRequest {
+pub(crate) struct RecordedEnd {
     pub id: String,
     pub expires_at: u64,
     pub end: RequestEnd,
@@ -104,7 +104,7 @@
     /// The messages that are not completed.
     pub messages: BTreeMap<u64, RestoredMessage>,
     /// Requests of completed messages.
-    pub ended: BTreeMap<u64, EndedRequest>,
+    pub ended: BTreeMap<u64, RecordedEnd>,
 }
 
 impl RestoredLog {
@@ -217,7 +217,7 @@
     }
 
     /// Appends the completion of a message, and how its request has ended.
-    pub fn append_completion(&mut self, number: u64, ended: EndedRequest) -> io::Result<()> {
+    pub fn append_completion(&mut self, number: u64, ended: RecordedEnd) -> io::Result<()> {
         let records = [LogRecord::Completed, LogRecord::Ended(ended)];
         let frames = [encode(number, &records[0])?, encode(number, &records[1])?];
         self.append_frames(&frames.concat())?;
@@ -433,7 +433,7 @@
     fn ended_requests_are_restored_until_they_are_forgotten() {
         let directory = tempfile::tempdir().unwrap();
         let (mut log, _) = open(directory.path());
-        let ended = |n: u64| EndedRequest {
+        let ended = |n: u64| RecordedEnd {
             id: format!("m{n}"),
             expires_at: 1 << 50,
             end: RequestEnd::HandedBack { retry_in_ms: n },
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,4 +41,7 @@
 mod state;
 
 pub use interface::*;
-pub use policy::{DeliveryPolicy, PreviousRequest, RequestEnd, RequestHistory, FORMAT};
+pub use policy::{
+    ClientId, DeliveryPolicy, EndedRequest, PreviousRequest, RequestEnd, RequestHistory, FORMAT,
+    UNKNOWN_CLIENT,
+};
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -28,7 +28,9 @@
 mod state_transfer;
 mod timeouts;
 
-pub use request_history::{PreviousRequest, RequestEnd, RequestHistory};
+pub use request_history::{
+    ClientId, EndedRequest, PreviousRequest, RequestEnd, RequestHistory, UNKNOWN_CLIENT,
+};
 pub use state_transfer::FORMAT;
 pub(crate) use timeouts::ResponseTimes;
 
--- a/src/policy/request_history.rs
+++ b/src/policy/request_history.rs
@@ -35,19 +35,57 @@
     Ended(RequestEnd),
 }
 
+/// Identifies the connection on which a request arrived.
+pub type ClientId = u64;
+
+/// Client of requests that a restart restored, or that another process received.
+pub const UNKNOWN_CLIENT: ClientId = 0;
+
+/// A request whose message has ended.
 #[derive(Clone, Copy, Debug)]
-struct Entry {
-    message: MessageId,
-    /// How it has ended, and until when that is remembered.
-    ended: Option<(RequestEnd, Micros)>,
+pub struct EndedRequest {
+    /// The connection on which it arrived.
+    pub client: ClientId,
+    /// Its message.
+    pub message: MessageId,
+    /// Until when its message could be delivered.
+    pub deadline: Micros,
+    /// How it has ended.
+    pub end: RequestEnd,
+}
+
+impl EndedRequest {
+    fn remembered_until(&self) -> Micros {
+        self.deadline.saturating_add(RETENTION_AFTER_DEADLINE)
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Entry {
+    Held(MessageId),
+    Ended(EndedRequest),
 }
 
-/// The requests by their ids: all that are held, and of those that have ended as many as fit.
+/// Ended requests in the order in which they are forgotten.
+type ForgetOrder = BTreeSet<(Micros, MessageId, Arc<str>)>;
+
+/// The ended requests of one client.
+#[derive(Debug, Default)]
+struct ClientRequests {
+    order: ForgetOrder,
+    bytes: usize,
+}
+
+/// The requests by their ids: all that are held, and of those that have ended as many as fit. Where they do not, the client
+/// with most of them loses its own.
 #[derive(Debug)]
 pub struct RequestHistory {
     entries: BTreeMap<Arc<str>, Entry>,
-    /// Ended requests in the order in which they are forgotten.
-    ended: BTreeSet<(Micros, MessageId, Arc<str>)>,
+    /// All ended requests.
+    order: ForgetOrder,
+    by_client: BTreeMap<ClientId, ClientRequests>,
+    /// Clients by the bytes of their ended requests.
+    by_bytes: BTreeSet<(usize, ClientId)>,
     ended_bytes: usize,
     max_ended_bytes: usize,
 }
@@ -59,31 +97,47 @@
 impl RequestHistory {
     /// An empty history, which keeps ended requests in at most this many bytes.
     pub fn new(max_ended_bytes: usize) -> RequestHistory {
-        RequestHistory { entries: BTreeMap::new(), ended: BTreeSet::new(), ended_bytes: 0, max_ended_bytes }
+        RequestHistory {
+            entries: BTreeMap::new(),
+            order: ForgetOrder::new(),
+            by_client: BTreeMap::new(),
+            by_bytes: BTreeSet::new(),
+            ended_bytes: 0,
+            max_ended_bytes,
+        }
     }
 
     /// What is known of the request with this id.
     pub fn previous(&self, id: &str) -> Option<PreviousRequest> {
-        let entry = self.entries.get(id)?;
-        Some(entry.ended.map_or(PreviousRequest::Held(entry.message), |(end, _)| PreviousRequest::Ended(end)))
+        Some(match self.entries.get(id)? {
+            Entry::Held(message) => PreviousRequest::Held(*message),
+            Entry::Ended(ended) => PreviousRequest::Ended(ended.end),
+        })
     }
 
     /// Adds a request whose message is held from now on.
     pub fn hold(&mut self, id: &str, message: MessageId) {
         self.forget(id);
-        self.entries.insert(id.into(), Entry { message, ended: None });
+        self.entries.insert(id.into(), Entry::Held(message));
     }
 
-    /// Records how a request has ended. Returns the messages that are forgotten for it, those of the earliest deadlines.
-    pub fn end(&mut self, id: &str, message: MessageId, deadline: Micros, end: RequestEnd) -> Vec<MessageId> {
+    /// Records how a request has ended. Returns the messages whose requests are forgotten for it.
+    pub fn end(&mut self, id: &str, ended: EndedRequest) -> Vec<MessageId> {
         self.forget(id);
-        let (id, until): (Arc<str>, _) = (id.into(), deadline.saturating_add(RETENTION_AFTER_DEADLINE));
-        self.entries.insert(id.clone(), Entry { message, ended: Some((end, until)) });
+        let id: Arc<str> = id.into();
+        let place = (ended.remembered_until(), ended.message, id.clone());
+        self.order.insert(place.clone());
+        self.change_client(ended.client, |client| {
+            client.bytes += entry_bytes(&id);
+            client.order.insert(place);
+        });
         self.ended_bytes += entry_bytes(&id);
-        self.ended.insert((until, message, id));
+        self.entries.insert(id, Entry::Ended(ended));
         let mut forgotten = Vec::new();
         while self.ended_bytes > self.max_ended_bytes {
-            forgotten.extend(self.forget_first());
+            let Some((message, id)) = self.first_of_largest_client() else { break };
+            self.forget(&id);
+            forgotten.push(message);
         }
         forgotten
     }
@@ -91,26 +145,47 @@
     /// Removes a request that has no effect, as if it had never come.
     pub fn forget(&mut self, id: &str) {
         let Some((id, entry)) = self.entries.remove_entry(id) else { return };
-        if let Some((_, until)) = entry.ended {
-            self.ended_bytes -= entry_bytes(&id);
-            self.ended.remove(&(until, entry.message, id));
-        }
+        let Entry::Ended(ended) = entry else { return };
+        let bytes = entry_bytes(&id);
+        let place = (ended.remembered_until(), ended.message, id);
+        self.order.remove(&place);
+        self.change_client(ended.client, |client| {
+            client.bytes -= bytes;
+            client.order.remove(&place);
+        });
+        self.ended_bytes -= bytes;
     }
 
     /// Forgets the ended requests whose time is over. Returns their messages.
     pub fn expire(&mut self, now: Micros) -> Vec<MessageId> {
         let mut forgotten = Vec::new();
-        while self.ended.first().is_some_and(|(until, ..)| *until <= now) {
-            forgotten.extend(self.forget_first());
+        while let Some((until, message, id)) = self.order.first().cloned() {
+            if until > now {
+                break;
+            }
+            self.forget(&id);
+            forgotten.push(message);
         }
         forgotten
     }
 
-    fn forget_first(&mut self) -> Option<MessageId> {
-        let (_, message, id) = self.ended.pop_first()?;
-        self.ended_bytes -= entry_bytes(&id);
-        self.entries.remove(&id);
-        Some(message)
+    /// The request of the client with most of them that is forgotten first.
+    fn first_of_largest_client(&self) -> Option<(MessageId, Arc<str>)> {
+        let (_, client) = self.by_bytes.last()?;
+        let (_, message, id) = self.by_client.get(client)?.order.first()?;
+        Some((*message, id.clone()))
+    }
+
+    /// Changes the ended requests of a client, and keeps its place by their bytes.
+    fn change_client(&mut self, id: ClientId, change: impl FnOnce(&mut ClientRequests)) {
+        let client = self.by_client.entry(id).or_default();
+        self.by_bytes.remove(&(client.bytes, id));
+        change(client);
+        if client.order.is_empty() {
+            self.by_client.remove(&id);
+        } else {
+            self.by_bytes.insert((client.bytes, id));
+        }
     }
 }
 
--- a/tests/peers/client_flood.rs
+++ b/tests/peers/client_flood.rs
@@ -127,3 +127,23 @@
         _ => format!("POST /fee HTTP/1.1\r\nHost: f\r\nName-{n}: x\r\nContent-Length: 0\r\n\r\n").into(),
     });
 }
+
+/// Guards against one client that makes the forwarder forget the requests of all others.
+#[test]
+fn new_ids_of_one_client_displace_no_request_of_another() {
+    let _lock = crate::lock();
+    let target = HttpServer::start(|_| OK);
+    let discovery = DiscoveryServer::start(vec![list_entry("s-1", target.address, 1, "active")]);
+    let forwarder = Forwarder::start(&discovery);
+    wait_until("a message is accepted", || forwarder.submit(&fee_message("mine")) == 202);
+    let flood = FloodClient::start(forwarder.listen_address, |n| message(&format!("flood-{n}"), "/fee", 1));
+    let end = Instant::now() + FLOOD_TIME;
+    let mut repeats = 0;
+    while Instant::now() < end {
+        sleep(Duration::from_millis(200));
+        repeats += usize::from([200, 202].contains(&forwarder.submit(&fee_message("mine"))));
+    }
+    let sent = flood.finish();
+    let calls = target.message_ids().iter().filter(|id| *id == "mine").count();
+    assert_eq!(calls, 1, "after {repeats} repeats beside {sent} requests");
+}
