--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -57,6 +57,10 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep_until, timeout, Instant};
 
+mod acceptance;
+mod attempts;
+mod notices;
+mod operators;
 mod startup;
 mod takeover;
 
@@ -136,14 +140,6 @@
     }
 }
 
-/// Tells all clients that wait for a response that their message is refused.
-fn refuse_all(replies: Vec<oneshot::Sender<SubmitResponse>>, retry_in_ms: u64) {
-    for reply in replies {
-        // The client may have disconnected.
-        let _ = reply.send(SubmitResponse::Refused { retry_in_ms });
-    }
-}
-
 /// A call in flight.
 struct InFlightCall {
     target: TargetId,
@@ -407,28 +403,33 @@
         self.interval_stats.longest_round = self.interval_stats.longest_round.max(took);
         if self.last_maintenance.elapsed() > MAINTENANCE_INTERVAL {
             self.last_maintenance = Instant::now();
-            self.idle_connections.evict_expired();
-            for number in self.request_history.expire(self.clock.now()) {
-                self.write_ahead_log.forget_ended(number);
-            }
-            let line = self.interval_stats.take_line(&Gauges {
-                recovery: self.recovery_stats,
-                held_messages: self.messages.len(),
-                pending_sends: self.messages.values().filter(|held| held.pending_send.is_some()).count(),
-                calls_in_flight: self.calls.len(),
-                idle_connections: self.idle_connections.count(),
-                pending_notices: self.pending_notices.len(),
-                event_loop_lag: self.overload.event_loop_lag(),
-                client_connections: self.connection_limit.in_use(),
-                unread_responses: self.unread_responses.count(),
-                no_free_connection_for: self.connection_limit.exhausted_for(),
-                memory: MemoryUsage::read(),
-                memory_limit: self.memory_limit,
-                body_bytes: self.body_memory.reserved(),
-                client_stats: self.client_stats.take_text(),
-            });
-            line.into_iter().for_each(|line| log::info!("{line}"));
-        }
+            self.maintain();
+        }
+    }
+
+    /// Forgets what is over, and prints the interval log line.
+    fn maintain(&mut self) {
+        self.idle_connections.evict_expired();
+        for number in self.request_history.expire(self.clock.now()) {
+            self.write_ahead_log.forget_ended(number);
+        }
+        let line = self.interval_stats.take_line(&Gauges {
+            recovery: self.recovery_stats,
+            held_messages: self.messages.len(),
+            pending_sends: self.messages.values().filter(|held| held.pending_send.is_some()).count(),
+            calls_in_flight: self.calls.len(),
+            idle_connections: self.idle_connections.count(),
+            pending_notices: self.pending_notices.len(),
+            event_loop_lag: self.overload.event_loop_lag(),
+            client_connections: self.connection_limit.in_use(),
+            unread_responses: self.unread_responses.count(),
+            no_free_connection_for: self.connection_limit.exhausted_for(),
+            memory: MemoryUsage::read(),
+            memory_limit: self.memory_limit,
+            body_bytes: self.body_memory.reserved(),
+            client_stats: self.client_stats.take_text(),
+        });
+        line.into_iter().for_each(|line| log::info!("{line}"));
     }
 
     fn notify_policy(&mut self, event: Event) {
@@ -479,79 +480,6 @@
         }
     }
 
-    /// Passes an endpoint list on to the policy. New endpoints are assigned target ids.
-    fn update_endpoints(&mut self, list: ServerList, kind: ListKind) {
-        let index_of = |names: &[String], name: &str| {
-            names.iter().position(|n| n == name).map_or(u32::MAX, |at| at as u32)
-        };
-        let mut endpoints = Vec::with_capacity(list.servers.len());
-        for entry in list.servers {
-            let zone = self.settings.zone_number(&entry.zone);
-            let known = self.target_ids.get(&entry.id).copied();
-            let target = known.unwrap_or(self.endpoints.len() as TargetId);
-            if let Some(known_endpoint) = self.endpoints.get_mut(target as usize) {
-                (known_endpoint.address, known_endpoint.zone) = (entry.addr, zone);
-            } else {
-                self.endpoints.push(KnownEndpoint { address: entry.addr, zone, generation: 0 });
-                if self.disabled_endpoints.contains(&entry.id) {
-                    self.notify_policy(Event::EndpointAdminState { target, disabled: true });
-                }
-                self.target_ids.insert(entry.id, target);
-            }
-            endpoints.push(Endpoint {
-                target,
-                destination: entry.cell,
-                kind: index_of(&self.settings.kind_names, &entry.kind),
-                zone,
-                state: match entry.state {
-                    ServerState::Active => EndpointState::Ready,
-                    ServerState::Leaving => EndpointState::Draining,
-                    ServerState::Left => EndpointState::Removed,
-                },
-                rate: entry.weight,
-            });
-        }
-        let version = u32::try_from(list.version).unwrap_or(u32::MAX);
-        self.notify_policy(Event::List { kind, version, endpoints });
-    }
-
-    fn handle_admin_request(&mut self, request: AdminRequest) -> AdminResponse {
-        let serving = self.accepting && *self.stage.borrow() == LifecycleStage::Serving;
-        match request {
-            AdminRequest::Ready if serving => AdminResponse::new(StatusCode::OK, "ready\n"),
-            AdminRequest::Ready => {
-                AdminResponse::new(StatusCode::SERVICE_UNAVAILABLE, "clients are not taken\n")
-            }
-            AdminRequest::Metrics => AdminResponse::new(
-                StatusCode::OK,
-                self.metrics.render(self.messages.len(), self.policy.endpoint_counts(), MemoryUsage::read()),
-            ),
-            AdminRequest::Disable(name) => self.set_disabled(&name, true),
-            AdminRequest::Enable(name) => self.set_disabled(&name, false),
-        }
-    }
-
-    /// Disables or enables an endpoint. Success means that the state has been persisted and outlasts the
-    /// process.
-    fn set_disabled(&mut self, name: &str, disabled: bool) -> AdminResponse {
-        let target = self.target_ids.get(name).copied();
-        let was_disabled = self.disabled_endpoints.contains(name);
-        if !was_disabled && !target.is_some_and(|target| self.policy.is_listed(target)) {
-            return AdminResponse::new(StatusCode::NOT_FOUND, "no such endpoint\n");
-        }
-        if let Err(error) = self.disabled_endpoints.set_disabled(name, disabled) {
-            log::warn!("admin: state of endpoint {name} not changed: {error}");
-            return AdminResponse::new(StatusCode::INSUFFICIENT_STORAGE, format!("{error}\n"));
-        }
-        let state = if disabled { "out" } else { "in" };
-        if let Some(target) = target.filter(|_| was_disabled != disabled) {
-            log::info!("admin: endpoint {name} is {state}");
-            self.endpoints[target as usize].generation += 1;
-            self.notify_policy(Event::EndpointAdminState { target, disabled });
-        }
-        AdminResponse::new(StatusCode::OK, format!("{name} is {state}\n"))
-    }
-
     /// Restores one message from the write-ahead log.
     fn restore_message(&mut self, number: u64, restored: RestoredMessage) {
         let RestoredMessage { accepted, attempts, notice } = restored;
@@ -609,153 +537,6 @@
         });
     }
 
-    fn submit(&mut self, message: Arc<Message>, client: ClientId, reply: oneshot::Sender<SubmitResponse>) {
-        if let Some(previous) = self.request_history.previous(&message.id) {
-            self.interval_stats.repeated_requests += 1;
-            return self.answer_repeated_request(previous, reply);
-        }
-        let full = self.messages.len() >= self.settings.settings.max_held as usize;
-        if full || !self.write_ahead_log.has_space_for(message.log_bytes()) {
-            let reason = if full { RefusalReason::TooManyHeld } else { RefusalReason::NoLogSpace };
-            self.log_refusal(&message.id, reason);
-            self.metrics.record_result(message.class, MessageResult::Shed);
-            let retry_in_ms = self.policy.retry_after(message.destination).div_ceil(1000);
-            let _ = reply.send(SubmitResponse::Refused { retry_in_ms });
-            return;
-        }
-        let id = self.next_number;
-        self.next_number += 1;
-        let event = Event::Request {
-            id,
-            class: message.class as u32,
-            destination: message.destination,
-            order_key: message.order_key_hash(),
-            expires: message.expires_at,
-        };
-        self.request_history.hold(&message.id, id);
-        self.messages.insert(
-            id,
-            HeldMessage {
-                message,
-                client,
-                acceptance: Acceptance::Undecided(vec![reply]),
-                pending_responses: 0,
-                attempts: 0,
-                pending_send: None,
-            },
-        );
-        self.undecided.push(id);
-        self.notify_policy(event);
-    }
-
-    /// Answers a request that has come before by what has become of it. No second message is created.
-    fn answer_repeated_request(&mut self, previous: PreviousRequest, reply: oneshot::Sender<SubmitResponse>) {
-        let response = match previous {
-            PreviousRequest::Held(number) => return self.respond_again(number, reply),
-            PreviousRequest::Ended(RequestEnd::Delivered) => SubmitResponse::Delivered,
-            PreviousRequest::Ended(RequestEnd::HandedBack { retry_in_ms }) => {
-                SubmitResponse::Refused { retry_in_ms }
-            }
-            PreviousRequest::Ended(RequestEnd::GivenUp) => SubmitResponse::Failed,
-        };
-        // The client may have disconnected.
-        let _ = reply.send(response);
-    }
-
-    /// Responds to a request that has come again as to the first: its message is held.
-    fn respond_again(&mut self, number: u64, reply: oneshot::Sender<SubmitResponse>) {
-        let Some(held) = self.messages.get_mut(&number) else { return };
-        match &mut held.acceptance {
-            Acceptance::Undecided(replies) => replies.push(reply),
-            Acceptance::Responding | Acceptance::Accepted => {
-                held.pending_responses += 1;
-                let guard = ResponseGuard::new(number, self.events.clone());
-                let _ = reply.send(SubmitResponse::Accepted(guard));
-            }
-        }
-    }
-
-    /// Remembers how the request of a message has ended.
-    fn record_request_end(&mut self, id: &str, ended: EndedRequest) {
-        for forgotten in self.request_history.end(id, ended) {
-            self.write_ahead_log.forget_ended(forgotten);
-        }
-    }
-
-    /// Accepts the submitted messages that the policy has not refused. Each is recorded in the write-ahead
-    /// log before the response is sent.
-    fn respond_to_clients(&mut self) {
-        for number in std::mem::take(&mut self.undecided) {
-            let Some(held) = self.messages.get_mut(&number) else { continue };
-            let Acceptance::Undecided(replies) =
-                std::mem::replace(&mut held.acceptance, Acceptance::Responding)
-            else {
-                continue;
-            };
-            let accepted = LogRecord::Accepted(held.message.to_accepted(&self.settings, &self.clock));
-            if let Err(error) = self.write_ahead_log.append(number, &accepted) {
-                log::warn!("journal: cannot record a message: {error}");
-                let id = held.message.id.clone();
-                self.log_refusal(&id, RefusalReason::LogFailed);
-                refuse_all(replies, 0);
-                self.discard_unaccepted(number);
-                continue;
-            }
-            held.pending_responses = replies.len() as u32;
-            for reply in replies {
-                let guard = ResponseGuard::new(number, self.events.clone());
-                // If the client has disconnected, the guard is dropped here and reports that.
-                let _ = reply.send(SubmitResponse::Accepted(guard));
-            }
-        }
-    }
-
-    /// Handles the end of a client's response. If it was written, the message is accepted and may be sent. If no response
-    /// was written, since the client disconnected first each time, the message is discarded.
-    fn response_ended(&mut self, number: u64, written: bool) {
-        self.interval_stats.clients_gone += u32::from(!written);
-        let Some(held) = self.messages.get_mut(&number) else {
-            return self.response_to_ended_message_ended(number, written);
-        };
-        held.pending_responses = held.pending_responses.saturating_sub(1);
-        let is_accepted = matches!(held.acceptance, Acceptance::Accepted);
-        if written && !is_accepted {
-            held.acceptance = Acceptance::Accepted;
-            self.interval_stats.accepted += 1;
-            self.start_pending_send(number);
-        } else if !written && !is_accepted && held.pending_responses == 0 {
-            self.append_record(number, &LogRecord::Completed);
-            self.discard_unaccepted(number);
-        }
-    }
-
-    /// Handles the end of a response to the client of a message that has ended undelivered: no notice is due if no client
-    /// has been told that it is accepted.
-    fn response_to_ended_message_ended(&mut self, number: u64, written: bool) {
-        let Some(pending) = self.pending_notices.get_mut(&number) else { return };
-        pending.accepted |= written;
-        pending.pending_responses = pending.pending_responses.saturating_sub(1);
-        if pending.accepted || pending.pending_responses > 0 {
-            return;
-        }
-        self.append_record(number, &LogRecord::Completed);
-        self.unsent_notices.remove(&number);
-        if let Some(PendingNotice { id, .. }) = self.pending_notices.remove(&number) {
-            self.request_history.forget(&id);
-        }
-    }
-
-    /// Discards a message that the policy has not refused but that could not be accepted.
-    fn discard_unaccepted(&mut self, number: u64) {
-        let Some(held) = self.messages.remove(&number) else { return };
-        self.request_history.forget(&held.message.id);
-        self.metrics.record_result(held.message.class, MessageResult::Shed);
-        if let Some(PendingSend { attempt, target, .. }) = held.pending_send {
-            self.notify_outcome(number, attempt, target, Outcome::NotSent, true);
-        }
-        self.notify_policy(Event::Abandoned { id: number });
-    }
-
     fn execute(&mut self, action: Action) {
         match action {
             Action::Send { id, target, until } => {
@@ -789,159 +570,6 @@
         }
     }
 
-    /// Starts a pending send unless it has to wait: either until the client's response has been written, or
-    /// until the notice of an earlier message with the same order key is acknowledged, which completes that
-    /// message.
-    fn start_pending_send(&mut self, number: u64) {
-        let Some(held) =
-            self.messages.get_mut(&number).filter(|held| matches!(held.acceptance, Acceptance::Accepted))
-        else {
-            return;
-        };
-        let key = held.message.order_key_hash();
-        if key != 0 && self.pending_notices.values().any(|pending| pending.order_key == key) {
-            return;
-        }
-        let Some(PendingSend { attempt, target, until, decided_at }) = held.pending_send.take() else {
-            return;
-        };
-        // A decision this old may conflict with a drain or a Retry-After received since: the policy decides
-        // again.
-        if self.clock.now() > decided_at + MAX_PENDING_SEND_AGE {
-            return self.notify_outcome(number, attempt, target, Outcome::NotSent, false);
-        }
-        self.start_call(number, attempt, target, until);
-    }
-
-    /// Returns pending sends that have timed out to the policy. A send that waits for a notice to be
-    /// acknowledged could otherwise stay without an outcome, and its message would never end.
-    fn expire_pending_sends(&mut self) {
-        if self.pending_notices.is_empty() {
-            return;
-        }
-        let now = self.clock.now();
-        let take_expired = |held: &mut HeldMessage| held.pending_send.take_if(|send| send.until <= now);
-        let held_messages = self.messages.iter_mut();
-        let expired: Vec<_> =
-            held_messages.filter_map(|(number, held)| Some((*number, take_expired(held)?))).collect();
-        for (number, PendingSend { attempt, target, .. }) in expired {
-            self.notify_outcome(number, attempt, target, Outcome::NotSent, false);
-        }
-    }
-
-    /// Records the start of an attempt before its first byte is sent: from then on it may have run. Returns
-    /// whether that succeeded; the call must not be made otherwise.
-    fn log_attempt_start(&mut self, number: u64, attempt: u32) -> bool {
-        let Some(call) = self.calls.get_mut(&(number, attempt)) else { return false };
-        let zone = self.endpoints[call.target as usize].zone;
-        let attempt_start =
-            LogRecord::AttemptStarted { started_at: self.clock.unix_micros_at(self.clock.now()), zone };
-        match self.write_ahead_log.append(number, &attempt_start) {
-            Ok(()) => call.started = true,
-            Err(error) => log::warn!("journal: call not started, as it cannot be recorded: {error}"),
-        }
-        call.started
-    }
-
-    /// Starts a call. On a new connection, the start of the attempt is recorded only once the connection is
-    /// established.
-    fn start_call(&mut self, number: u64, attempt: u32, target: TargetId, until: Micros) {
-        let Some(held) = self.messages.get(&number) else { return };
-        let message = held.message.clone();
-        let KnownEndpoint { address, generation, .. } = self.endpoints[target as usize];
-        let (cancel, cancelled) = oneshot::channel();
-        self.calls.insert((number, attempt), InFlightCall { target, cancel: Some(cancel), started: false });
-        let connection = self.idle_connections.take(target);
-        if connection.is_some() && !self.log_attempt_start(number, attempt) {
-            self.calls.remove(&(number, attempt));
-            return self.notify_outcome(number, attempt, target, Outcome::NotSent, false);
-        }
-        self.interval_stats.connections_opened += u32::from(connection.is_none());
-        let call = Call {
-            number,
-            attempt,
-            target,
-            address,
-            message,
-            connect_timeout: Duration::from_micros(self.settings.settings.connect_timeout),
-            timeout_at: self.clock.instant_at(until),
-            connection,
-            reads_limit_reports: self.settings.rate_index.is_some()
-                && self.settings.share_left_index.is_some(),
-            generation,
-        };
-        tokio::spawn(calls::make_call(call, cancelled, self.events.clone()));
-    }
-
-    /// Tells the policy the outcome of an attempt for which no call was made.
-    fn notify_outcome(
-        &mut self, id: u64, attempt: u32, target: TargetId, outcome: Outcome, message_ended: bool,
-    ) {
-        self.notify_policy(Event::AttemptEnded {
-            id,
-            attempt,
-            target,
-            outcome,
-            took: 0,
-            message_ended,
-            retry_after: 0,
-            report: None,
-        });
-    }
-
-    fn call_ended(&mut self, end: CallEnd) {
-        self.log_failed_attempt(&end);
-        let started = self.calls.remove(&(end.number, end.attempt)).is_some_and(|call| call.started);
-        self.interval_stats.record_call(end.outcome, end.started_at.elapsed(), end.idle_for);
-        self.interval_stats.truncated_responses += u32::from(end.response_truncated);
-        let same_generation = self.endpoints[end.target as usize].generation == end.generation;
-        if let Some(connection) = end.connection.filter(|_| same_generation) {
-            self.idle_connections.put(end.target, connection);
-        }
-        let held = self.messages.contains_key(&end.number);
-        if end.completes_message {
-            if let Some(held) = self.messages.remove(&end.number) {
-                let delivered = end.outcome == Outcome::Ok;
-                self.metrics.record_result(
-                    held.message.class,
-                    if delivered { MessageResult::Ok } else { MessageResult::Error },
-                );
-                let request_end = if delivered { RequestEnd::Delivered } else { RequestEnd::GivenUp };
-                let Message { id, expires_at, .. } = &*held.message;
-                let (client, message, deadline) = (held.client, end.number, *expires_at);
-                self.record_request_end(id, EndedRequest { client, message, deadline, end: request_end });
-                self.append_completion(end.number, id.clone(), deadline, request_end);
-            }
-        } else if held && started {
-            let execution =
-                if end.outcome.never_ran() { ExecutionStatus::NeverRan } else { ExecutionStatus::MayHaveRun };
-            self.append_record(end.number, &LogRecord::AttemptEnded(execution));
-        }
-        let now = self.clock.now();
-        self.notify_policy(Event::AttemptEnded {
-            id: end.number,
-            attempt: end.attempt,
-            target: end.target,
-            outcome: end.outcome,
-            took: now.saturating_sub(self.clock.micros_at(end.started_at)),
-            message_ended: end.completes_message || !held,
-            // The wait counts from the arrival of the response, not from now.
-            retry_after: end.wait_until.map_or(0, |until| self.clock.micros_at(until).saturating_sub(now)),
-            report: end.limit_report,
-        });
-    }
-
-    /// Logs an attempt that did not deliver its message: the reason of the retry or of the end that follows.
-    fn log_failed_attempt(&mut self, end: &CallEnd) {
-        let Some(held) = self.messages.get(&end.number).filter(|_| end.outcome != Outcome::Ok) else {
-            return;
-        };
-        let address = self.endpoints[end.target as usize].address;
-        let line =
-            self.interval_stats.failed_attempt_line(&held.message.id, end.attempt, address, end.outcome);
-        line.into_iter().for_each(|line| log::info!("{line}"));
-    }
-
     /// Appends a record whose loss can be tolerated: an error is only logged. Without the record, a restart
     /// assumes that an attempt may have run where it did not.
     fn append_record(&mut self, number: u64, record: &LogRecord) {
@@ -961,91 +589,6 @@
         }
     }
 
-    /// Ends a message undelivered: by the response to its client if that is still due, otherwise by a notice.
-    fn end_undelivered(&mut self, number: u64, notice: NonDeliveryNotice) {
-        let Some(held) = self.messages.remove(&number) else { return };
-        let class = held.message.class;
-        if let Acceptance::Undecided(replies) = held.acceptance {
-            self.request_history.forget(&held.message.id);
-            self.metrics.record_result(class, MessageResult::Shed);
-            let retry_in_ms =
-                if let NonDeliveryNotice::HandedBack { retry_in_ms } = notice { retry_in_ms } else { 0 };
-            self.log_refusal(&held.message.id, RefusalReason::Policy);
-            refuse_all(replies, retry_in_ms);
-            return;
-        }
-        let result = if matches!(notice, NonDeliveryNotice::GivenUp) {
-            MessageResult::Error
-        } else {
-            MessageResult::Shed
-        };
-        self.metrics.record_result(class, result);
-        self.recovery_stats.record_undelivered(number, held.message.expires_at, held.attempts);
-        let time_left = held.message.expires_at as i64 - self.clock.now() as i64;
-        let line = self.interval_stats.record_undelivered(&held.message.id, notice, held.attempts, time_left);
-        line.into_iter().for_each(|line| log::info!("{line}"));
-        self.append_record(number, &LogRecord::NoticeIssued(notice));
-        let pending = PendingNotice {
-            id: held.message.id.clone(),
-            order_key: held.message.order_key_hash(),
-            expires_at: held.message.expires_at,
-            notice,
-            accepted: matches!(held.acceptance, Acceptance::Accepted),
-            pending_responses: held.pending_responses,
-        };
-        let (client, deadline, end) = (held.client, pending.expires_at, request_end(notice));
-        self.record_request_end(&pending.id, EndedRequest { client, message: number, deadline, end });
-        self.pending_notices.insert(number, pending);
-        self.unsent_notices.insert(number);
-    }
-
-    fn log_refusal(&mut self, id: &str, reason: RefusalReason) {
-        let line = self.interval_stats.record_refusal(id, reason);
-        line.into_iter().for_each(|line| log::info!("{line}"));
-    }
-
-    fn send_notices(&mut self) {
-        while !self.unsent_notices.is_empty() && self.report_client.has_capacity() {
-            let numbers: Vec<u64> =
-                self.unsent_notices.iter().copied().take(MAX_NOTICES_PER_REPORT).collect();
-            let mut lines = String::new();
-            for number in &numbers {
-                self.unsent_notices.remove(number);
-                let PendingNotice { id, notice, .. } = &self.pending_notices[number];
-                let line = match notice {
-                    NonDeliveryNotice::GivenUp => json!({"message": id, "outcome": "given_up"}),
-                    NonDeliveryNotice::HandedBack { retry_in_ms: 0 } => {
-                        json!({"message": id, "outcome": "handed_back"})
-                    }
-                    NonDeliveryNotice::HandedBack { retry_in_ms } => {
-                        json!({"message": id, "outcome": "handed_back", "retry_in_ms": retry_in_ms})
-                    }
-                };
-                lines.push_str(&format!("{line}\n"));
-            }
-            self.report_client.send(lines, numbers);
-        }
-    }
-
-    /// Completes the messages whose notices discovery has acknowledged, and starts the sends that waited for
-    /// that.
-    fn notices_acknowledged(&mut self, numbers: Vec<u64>) {
-        for number in numbers {
-            let key = match self.pending_notices.remove(&number) {
-                Some(PendingNotice { id, order_key, expires_at, notice, .. }) => {
-                    self.append_completion(number, id, expires_at, request_end(notice));
-                    order_key
-                }
-                None => 0,
-            };
-            let is_next = |held: &HeldMessage| {
-                key != 0 && held.pending_send.is_some() && held.message.order_key_hash() == key
-            };
-            let waiting = self.messages.iter().find(|(_, held)| is_next(held)).map(|(number, _)| *number);
-            waiting.into_iter().for_each(|next| self.start_pending_send(next));
-        }
-    }
-
     /// Moves a process that was told to end to the next stage of its shutdown.
     fn advance_shutdown(&mut self) {
         let closing = self.terminated_at.is_some_and(|at| at.elapsed() >= ACCEPT_AFTER_TERMINATE);
