--- a/tests/peers/client_memory.rs
+++ b/tests/peers/client_memory.rs
@@ -3,6 +3,7 @@
 
 use crate::crowd::{Crowd, Script};
 use crate::harness::*;
+use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -160,3 +161,38 @@
     wait_until("the target receives the call", || target.message_ids() == ["m1"]);
     assert_within_memory_limit(&mut forwarder);
 }
+
+/// Peers of all kinds beside a log that is full of large messages, whose endpoint responds to none.
+#[test]
+fn all_kinds_of_peers_together_stay_within_the_memory_limit() {
+    let _lock = crate::lock();
+    let (target, _discovery, mut forwarder) = start_with_little_memory();
+    target.set_handler(|_| Response::Silent);
+    let large = vec![b'x'; 60_000];
+    let starts = [
+        b"GET /healthz HTTP/1.1\r\nHost: f\r\n\r\n".to_vec(),
+        [head(64 * 1024), large.clone()].concat(),
+        [b"POST /fee HTTP/1.1\r\nX-Long: ".to_vec(), large.clone()].concat(),
+        head(60_000),
+    ];
+    let count = PEERS / starts.len();
+    let crowds: Vec<_> = starts
+        .into_iter()
+        .map(|start| {
+            let pieces = if start.len() < 1_000 { 60_000 } else { 0 };
+            Crowd::start(forwarder.listen_address, count, Script { start, piece: b"x".into(), pieces })
+        })
+        .collect();
+    let end = Instant::now() + CROWD_TIME;
+    let mut statuses = BTreeMap::new();
+    for n in 0.. {
+        let status = forwarder.submit(&fee_message(&format!("large-{n}")).with_body(large.clone()));
+        *statuses.entry(status).or_insert(0) += 1;
+        if Instant::now() >= end {
+            break;
+        }
+    }
+    drop(crowds);
+    assert!(statuses[&202] > 5 && statuses.keys().all(|status| [202, 503].contains(status)), "{statuses:?}");
+    assert_within_memory_limit(&mut forwarder);
+}
