Count a client that has gone once, and name the sender that a list drops

A connection whose client had gone before its request was read was counted as an invalid request too. The node drops the sender of a list by name once the list is in force and saved.

--- a/src/bin/foldtrack/client_server.rs
+++ b/src/bin/foldtrack/client_server.rs
@@ -284,7 +284,11 @@
                     break;
                 }
                 ConnectionEnd::Invalid(error) => {
-                    stats.record_invalid_request(&error);
+                    if state.progress().client_gone {
+                        stats.record_close(CloseReason::ClientGone);
+                    } else {
+                        stats.record_invalid_request(&error);
+                    }
                     break;
                 }
                 ConnectionEnd::ResponseUnread => {
@@ -325,7 +329,6 @@
     // A message whose response was not written is not accepted: dropping the guard reports that.
     let client_gone = std::mem::take(&mut *state.progress()).client_gone;
     if client_gone {
-        context.client_stats.record_close(CloseReason::ClientGone);
         streams::refuse_unread(client).await;
     } else {
         streams::lingering_close(client).await;
--- a/src/bin/foldtrack/discovery_client.rs
+++ b/src/bin/foldtrack/discovery_client.rs
@@ -27,9 +27,9 @@
         HttpTransport { connection: None, unhandled_list: unhandled_list.clone(), max_list_bytes };
     let on_event = move |event| match event {
         DiscoveryEvent::List(list) => {
-            let (_handled, handled) = oneshot::channel();
-            unhandled_list.set(handled);
-            events.send(NodeEvent::List { list, _handled })
+            let (handled, node_has_handled) = oneshot::channel();
+            unhandled_list.set(node_has_handled);
+            events.send(NodeEvent::List { list, handled })
         }
         DiscoveryEvent::InvalidReply { status, error } => {
             let reason = error.map_or_else(|| "unexpected status".to_string(), |error| error.to_string());
--- a/src/bin/foldtrack/events.rs
+++ b/src/bin/foldtrack/events.rs
@@ -97,7 +97,7 @@
     List {
         list: ServerList,
         /// Dropped once the list is in force and outlasts the process.
-        _handled: oneshot::Sender<()>,
+        handled: oneshot::Sender<()>,
     },
     /// Discovery has acknowledged the notices of these messages.
     NoticesAcknowledged {
--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -447,10 +447,11 @@
             NodeEvent::ConnectionRefused => self.interval_stats.connections_refused += 1,
             NodeEvent::ResponseUnread => self.interval_stats.closed_unread += 1,
             NodeEvent::CallEnded(end) => self.call_ended(end),
-            NodeEvent::List { list, _handled } => {
+            NodeEvent::List { list, handled } => {
                 let kind = if list.full { ListKind::Full } else { ListKind::Delta };
                 self.endpoint_list_cache.update(&list, |more| self.write_ahead_log.release_space(more));
                 self.update_endpoints(list, kind);
+                drop(handled);
             }
             NodeEvent::NoticesAcknowledged { numbers } => self.notices_acknowledged(numbers),
             NodeEvent::Connected { number, attempt, target, proceed } => {
