--- a/tests/peers/client_flood.rs
+++ b/tests/peers/client_flood.rs
@@ -1,5 +1,6 @@
 //! One client that sends at full speed on one connection, beside clients that wait for their answers.
 
+use crate::beside::Submissions;
 use crate::harness::*;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -70,29 +71,19 @@
     String::from_utf8(message.bytes()).unwrap().replace("Connection: close\r\n", "").into_bytes()
 }
 
-/// Runs the client beside others, whose messages get their answers and end.
+/// Runs the client beside others, whose messages get their answers in time and end.
 fn assert_flood_is_harmless(request: impl Fn(u64) -> Vec<u8> + Send + 'static) {
     let _lock = crate::lock();
     let target = HttpServer::start(|_| OK);
     let discovery = DiscoveryServer::start(vec![list_entry("s-1", target.address, 1, "active")]);
     let mut forwarder = Forwarder::start(&discovery);
     let flood = FloodClient::start(forwarder.listen_address, request);
-    let end = Instant::now() + FLOOD_TIME;
-    let mut accepted = Vec::new();
-    for n in 0.. {
-        let id = format!("other-{n}");
-        let status = forwarder.submit(&fee_message(&id));
-        assert!([202, 503].contains(&status), "{id}: {status}");
-        accepted.extend((status == 202).then_some(id));
-        if Instant::now() >= end {
-            break;
-        }
-        sleep(Duration::from_millis(20));
-    }
+    let mut submissions = Submissions::run(&forwarder, FLOOD_TIME);
     let sent = flood.finish();
     assert!(sent > 1_000, "{sent} requests are no flood");
-    assert!(!accepted.is_empty());
-    wait_until("what was accepted has ended", || has_ended(&accepted, &target, &discovery));
+    assert!(!submissions.accepted.is_empty());
+    submissions.assert_in_time();
+    wait_until("what was accepted has ended", || has_ended(&submissions.accepted, &target, &discovery));
     assert!(forwarder.is_running());
     let peak = forwarder.peak_memory();
     println!("peak memory: {peak} bytes after {sent} requests");
--- a/tests/peers/client_memory.rs
+++ b/tests/peers/client_memory.rs
@@ -1,6 +1,7 @@
 //! Memory of the forwarder while hundreds of peers send requests that they do not complete. The limit is the least memory
 //! that a deployment gives a forwarder, with the most descriptors.
 
+use crate::beside::Submissions;
 use crate::crowd::{Crowd, Script};
 use crate::harness::*;
 use std::collections::BTreeMap;
@@ -46,21 +47,10 @@
     let _lock = crate::lock();
     let (target, discovery, mut forwarder) = start_with_little_memory();
     let crowd = Crowd::start(forwarder.listen_address, PEERS, script);
-    let end = Instant::now() + CROWD_TIME;
-    let mut accepted = Vec::new();
-    for n in 0.. {
-        let id = format!("m{n}");
-        let status = forwarder.submit(&fee_message(&id));
-        assert!([202, 503].contains(&status), "{id}: {status}");
-        accepted.extend((status == 202).then_some(id));
-        if Instant::now() >= end {
-            break;
-        }
-        sleep(Duration::from_millis(50));
-    }
+    let submissions = Submissions::run(&forwarder, CROWD_TIME);
     drop(crowd);
     assert_within_memory_limit(&mut forwarder);
-    wait_until("what was accepted has ended", || has_ended(&accepted, &target, &discovery));
+    wait_until("what was accepted has ended", || has_ended(&submissions.accepted, &target, &discovery));
 }
 
 #[test]
--- a/tests/peers/main.rs
+++ b/tests/peers/main.rs
@@ -2,6 +2,7 @@
 //! limit of its settings, and other clients are served. They run one at a time, since a crowd
 //! takes much of the machine.
 
+mod beside;
 mod client_flood;
 mod client_memory;
 mod crowd;
--- a/tests/peers/soak.rs
+++ b/tests/peers/soak.rs
@@ -3,6 +3,7 @@
 //! hang, and in some runs a crowd of peers or a client at full speed. `SOAK_SEEDS` names the seeds as `FIRST-LAST`, eight
 //! by default, so that the run of all tests stays short.
 
+use crate::beside::ANSWER_TIMEOUT;
 use crate::client_flood::FloodClient;
 use crate::crowd::{Crowd, Script};
 use crate::harness::*;
@@ -20,8 +21,6 @@
 const PARALLEL_RUNS: usize = 4;
 const CLIENTS: usize = 6;
 const DESTINATIONS: u32 = 3;
-/// How long a client waits for its answer.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 /// The earliest SIGKILL after SIGTERM, and the earliest start after a SIGKILL.
 const KILL_AFTER_TERMINATE: Duration = Duration::from_millis(3700);
 const START_AFTER_KILL: Duration = Duration::from_millis(600);
