Bind with the accept backlog that the accept loop names

The start had a constant of its own with the same value. The page of the memory plan counted the endpoint list among the rest, though it has a share.

--- a/src/bin/foldtrack/accept_loop.rs
+++ b/src/bin/foldtrack/accept_loop.rs
@@ -22,7 +22,7 @@
 /// Connections accepted per turn of the event loop; see [`READS_PER_TURN`](crate::client_server::READS_PER_TURN).
 const ACCEPTS_PER_TURN: usize = 2;
 /// Length of the listener's accept queue without overload: the length that the listener is bound with.
-const MAX_ACCEPT_BACKLOG: u32 = 1024;
+pub(crate) const MAX_ACCEPT_BACKLOG: u32 = 1024;
 
 /// Send buffer of a client connection, which holds many responses. By itself the system lets it grow to megabytes
 /// while a client sends requests and reads nothing.
--- a/src/bin/foldtrack/memory_plan.rs
+++ b/src/bin/foldtrack/memory_plan.rs
@@ -1,5 +1,5 @@
 //! Divides the memory that the configuration allows the process among all that grows with what its peers do. The rest is
-//! for the program itself, the policy and the endpoint list.
+//! for the program itself and the policy.
 
 /// Share of the memory for client connections.
 const CLIENT_CONNECTION_SHARE: f64 = 1.0 / 3.0;
--- a/src/bin/foldtrack/node/startup.rs
+++ b/src/bin/foldtrack/node/startup.rs
@@ -2,6 +2,7 @@
 //! moment: after a kill another socket may have the address, and the files may fail.
 
 use super::Node;
+use crate::accept_loop::MAX_ACCEPT_BACKLOG;
 use crate::config::Config;
 use crate::endpoint_list_cache;
 use crate::events::EventSender;
@@ -16,8 +17,6 @@
 /// How long a start that fails is tried again. The platform gives a process 30 s to be ready.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// Length of the accept queue that the listener is bound with.
-const ACCEPT_BACKLOG: u32 = 1024;
 
 /// The socket on which clients are accepted.
 pub(super) enum ClientSocket {
@@ -31,7 +30,7 @@
     pub fn listen(self) -> io::Result<TcpListener> {
         match self {
             ClientSocket::Inherited(listener) => TcpListener::from_std(listener),
-            ClientSocket::Bound(socket) => socket.listen(ACCEPT_BACKLOG),
+            ClientSocket::Bound(socket) => socket.listen(MAX_ACCEPT_BACKLOG),
         }
     }
 }
