Record how a request ended only while the history remembers it

What callers saw: once the history of requests is full, as beside a client at full speed or with very long ids, records of ended requests stayed in the write-ahead log and in memory until a restart; in the end every message was refused for lack of space.

Cause: the record was written beside the completion also where the history had forgotten the request before, at its end or while its notice waited; the history tells when a record is to be forgotten, so nothing removed it. Likewise the record of an earlier message with the same id.

Evidence: ids_that_are_not_remembered_take_no_space_in_the_log with a real process failed at the sixth message (503) and passes with 30.

Why it works: a completion takes the record along only if the history remembers the end of just this message, and an end that replaces an earlier one returns that message to be forgotten.

--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -579,9 +579,13 @@
         }
     }
 
-    /// Appends the completion of a message and how its request has ended. An error is only logged: without the record, a
-    /// restart sends the message again as far as that is safe.
+    /// Appends the completion of a message, and how its request has ended if that is still remembered: the history tells
+    /// when the record is to be forgotten. An error is only logged: without the record, a restart sends the message again
+    /// as far as that is safe.
     fn append_completion(&mut self, number: u64, id: String, expires_at: Micros, end: RequestEnd) {
+        if !self.request_history.remembers_end(&id, number) {
+            return self.append_record(number, &LogRecord::Completed);
+        }
         let expires_at = self.clock.unix_micros_at(expires_at);
         if let Err(error) =
             self.write_ahead_log.append_completion(number, RecordedEnd { id, expires_at, end })
--- a/src/policy/request_history.rs
+++ b/src/policy/request_history.rs
@@ -115,6 +115,11 @@
         })
     }
 
+    /// Whether it is remembered how the request of this message has ended.
+    pub fn remembers_end(&self, id: &str, message: MessageId) -> bool {
+        matches!(self.entries.get(id), Some(Entry::Ended(ended)) if ended.message == message)
+    }
+
     /// Adds a request whose message is held from now on.
     pub fn hold(&mut self, id: &str, message: MessageId) {
         self.forget(id);
@@ -123,6 +128,10 @@
 
     /// Records how a request has ended. Returns the messages whose requests are forgotten for it.
     pub fn end(&mut self, id: &str, ended: EndedRequest) -> Vec<MessageId> {
+        let replaced = match self.entries.get(id) {
+            Some(Entry::Ended(previous)) if previous.message != ended.message => Some(previous.message),
+            _ => None,
+        };
         self.forget(id);
         let id: Arc<str> = id.into();
         let place = (ended.remembered_until(), ended.message, id.clone());
@@ -133,7 +142,7 @@
         });
         self.ended_bytes += entry_bytes(&id);
         self.entries.insert(id, Entry::Ended(ended));
-        let mut forgotten = Vec::new();
+        let mut forgotten = Vec::from_iter(replaced);
         while self.ended_bytes > self.max_ended_bytes {
             let Some((message, id)) = self.first_of_largest_client() else { break };
             self.forget(&id);
--- a/src/policy/request_history_tests.rs
+++ b/src/policy/request_history_tests.rs
@@ -54,6 +54,17 @@
     let long = "m".repeat(1_000);
     history.end(&long, ended(2, 50, 99 * SECOND));
     assert_eq!(history.previous(&long), None);
+    assert!(!history.remembers_end(&long, 50) && history.remembers_end("m8", 8));
+}
+
+#[test]
+fn an_end_replaces_that_of_an_earlier_message_with_the_same_id() {
+    let mut history = RequestHistory::new(10_000);
+    history.end("m", ended(1, 1, SECOND));
+    assert_eq!(history.end("m", ended(1, 2, SECOND)), [1]);
+    assert!(!history.remembers_end("m", 1) && history.remembers_end("m", 2));
+    assert_eq!(history.expire(Micros::MAX), [2]);
+    assert_empty(&history);
 }
 
 #[test]
--- a/tests/forwarder/repeated_requests.rs
+++ b/tests/forwarder/repeated_requests.rs
@@ -99,6 +99,21 @@
     assert!(old.wait_for_exit().success());
 }
 
+/// Guards against records of ended requests that nothing removes: these ids are longer than all that is remembered.
+#[test]
+fn ids_that_are_not_remembered_take_no_space_in_the_log() {
+    const MESSAGES: usize = 30;
+    let target = HttpServer::start(|_| OK);
+    let discovery = DiscoveryServer::start(vec![list_entry("s-1", target.address, 1, "active")]);
+    let forwarder = Forwarder::start_with(&discovery, |config| config["limits"]["disk_mb"] = 0.2.into());
+    for n in 0..MESSAGES {
+        let id = format!("{n}-{}", "x".repeat(7_500));
+        assert_eq!(forwarder.submit(&fee_message(&id)), 202, "message {n}");
+        wait_until("the target receives the call", || target.requests().len() == n + 1);
+        wait_until("the message is delivered", || crate::admin::metric(&forwarder, "active") == 0);
+    }
+}
+
 /// What a client sent before it closed its connection is not sent on, unless the client has an answer. One request is an
 /// exception where the client closed without a reset: it may have closed its sending side only, and wait.
 #[test]
