--- a/src/bin/foldtrack/accept_loop.rs
+++ b/src/bin/foldtrack/accept_loop.rs
@@ -1,9 +1,8 @@
 //! Accepts the connections of clients, within the connection limit and at the rate that the event loop keeps up with.
 
 use crate::admission::{AdmissionLimiter, AdmissionWaiter};
-use crate::client_server::{
-    serve_client, ClientStream, ServerContext, CLIENT_RESPONSE_TIMEOUT, MAX_READ_DELAY,
-};
+use crate::client_server::{serve_client, ServerContext, CLIENT_RESPONSE_TIMEOUT, MAX_READ_DELAY};
+use crate::client_stream::ClientStream;
 use crate::connection_limit::ConnectionLimit;
 use crate::events::{LifecycleStage, NodeEvent};
 use crate::streams;
--- a/src/bin/foldtrack/client_server_tests.rs
+++ b/src/bin/foldtrack/client_server_tests.rs
@@ -3,8 +3,9 @@
 
 use super::*;
 use crate::connection_limit::ConnectionLimit;
-use crate::events;
+use crate::events::{self, ResponseGuard};
 use serde_json::json;
+use std::io;
 use tokio::io::{duplex, AsyncReadExt, AsyncWriteExt, DuplexStream};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::timeout;
--- a/src/bin/foldtrack/main.rs
+++ b/src/bin/foldtrack/main.rs
@@ -9,6 +9,7 @@
 mod calls;
 mod client_server;
 mod client_stats;
+mod client_stream;
 mod clock;
 mod config;
 mod connection;
