Log and count what a closed client connection owed, and what a shutdown leaves

RequestFraming follows the requests in the bytes of a connection; the counters are totals in the metrics and differences in the interval log line, with a line by connection and reason for the first of each second. No connection is handled otherwise than before.

--- a/src/bin/foldtrack/client_server.rs
+++ b/src/bin/foldtrack/client_server.rs
@@ -8,6 +8,7 @@
 use crate::connection_limit::ConnectionPermit;
 use crate::events::{EventSender, LifecycleStage, NodeEvent, SubmitResponse};
 use crate::overload::OverloadMonitor;
+use crate::request_framing::RequestFraming;
 use crate::streams::{self, ObservedStream};
 use crate::submission::{read_message, ReceivedMessage, BODY_TIMEOUT};
 use crate::unread_responses::{UnreadResponse, UnreadResponses};
@@ -124,6 +125,8 @@
         state: state.clone(),
         waiter: AdmissionWaiter::new(&context.read_limiter),
         queue_time,
+        framing: RequestFraming::default(),
+        stats: context.client_stats.clone(),
     };
     let service = service_fn(|request| {
         let (context, state) = (context.clone(), state.clone());
@@ -163,6 +166,7 @@
                     if state.progress().client_gone {
                         stats.record_close(CloseReason::ClientGone);
                     } else {
+                        close_reason = CloseReason::InvalidRequest;
                         stats.record_invalid_request(&error);
                     }
                     break;
@@ -177,6 +181,10 @@
                 evictable = false;
                 if signal.is_ok() && !permit.decline_eviction() {
                     stats.record_close(CloseReason::Evicted);
+                    let unanswered = state.progress().unanswered;
+                    if unanswered > 0 {
+                        stats.record_cut_off(unanswered, permit.number(), CloseReason::Evicted);
+                    }
                     return;
                 }
             }
@@ -187,7 +195,8 @@
                     Pin::new(&mut http_connection).graceful_shutdown();
                 }
                 IdleCheck::NoRequest => {
-                    stats.record_close(CloseReason::NoRequest);
+                    close_reason = CloseReason::NoRequest;
+                    stats.record_close(close_reason);
                     break;
                 }
             },
@@ -203,11 +212,17 @@
     }
     let client = http_connection.into_parts().io.into_inner().stream;
     // A message whose response was not written is not accepted: dropping the guard reports that.
-    let client_gone = std::mem::take(&mut *state.progress()).client_gone;
+    let RequestProgress { client_gone, unanswered, .. } = std::mem::take(&mut *state.progress());
     if client_gone {
-        streams::refuse_unread(client).await;
-    } else {
-        streams::lingering_close(client).await;
+        return streams::refuse_unread(client).await;
+    }
+    // The HTTP library answers an invalid request by itself.
+    if unanswered > 0 && close_reason != CloseReason::InvalidRequest {
+        stats.record_cut_off(unanswered, permit.number(), close_reason);
+    }
+    let discarded_bytes = streams::lingering_close(client).await;
+    if discarded_bytes > 0 {
+        stats.record_discarded(discarded_bytes, permit.number(), close_reason);
     }
 }
 
--- a/src/bin/foldtrack/client_stats.rs
+++ b/src/bin/foldtrack/client_stats.rs
@@ -1,6 +1,7 @@
 //! Counts why client connections were closed and why requests were rejected before they reached the node. The first
 //! rejections of an interval are logged one by one.
 
+use hatchline::ClientId;
 use hyper::StatusCode;
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -45,11 +46,25 @@
     }
 }
 
+/// Counters since the start of the process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct ClientTotals {
+    /// Requests that arrived before the last one on their connection was answered.
+    pub pipelined: u64,
+    /// Requests of which something was read, and whose connection this process closed with no answer.
+    pub cut_off: u64,
+    /// Bytes that were read behind the last response of a connection, while it was being closed.
+    pub discarded_bytes: u64,
+}
+
 #[derive(Debug, Default)]
 struct Counts {
     closes: BTreeMap<CloseReason, u32>,
     rejections: BTreeMap<u16, u32>,
     lines: u32,
+    totals: ClientTotals,
+    /// The totals at the end of the last interval.
+    last_totals: ClientTotals,
 }
 
 /// The counts of the current interval, shared by all client connections.
@@ -89,9 +104,45 @@
         counts.lines <= MAX_LINES
     }
 
-    /// Renders the counts and resets them; empty if nothing has been counted.
+    /// Counts requests that arrived before the last one on their connection was answered.
+    pub fn record_pipelined(&self, requests: u64) {
+        self.counts().totals.pipelined += requests;
+    }
+
+    /// Counts requests of which something was read, and whose connection this process closes with no answer.
+    pub fn record_cut_off(&self, requests: u64, connection: ClientId, reason: CloseReason) {
+        self.counts().totals.cut_off += requests;
+        if self.takes_line() {
+            log::warn!(
+                "clients: connection {connection} closed ({}) with {requests} requests unanswered",
+                reason.name()
+            );
+        }
+    }
+
+    /// Counts bytes that were read while a connection was being closed.
+    pub fn record_discarded(&self, bytes: usize, connection: ClientId, reason: CloseReason) {
+        self.counts().totals.discarded_bytes += bytes as u64;
+        if self.takes_line() {
+            log::info!(
+                "clients: connection {connection} closed ({}): {bytes} bytes discarded",
+                reason.name()
+            );
+        }
+    }
+
+    /// The counters since the start of the process.
+    pub fn totals(&self) -> ClientTotals {
+        self.counts().totals
+    }
+
+    /// Renders the counts of the interval and resets them; empty if nothing has been counted.
     pub fn take_text(&self) -> String {
-        let Counts { closes, rejections, .. } = std::mem::take(&mut *self.counts());
+        let mut counts = self.counts();
+        let (totals, last_totals) = (counts.totals, counts.last_totals);
+        let Counts { closes, rejections, .. } =
+            std::mem::replace(&mut *counts, Counts { totals, last_totals: totals, ..Counts::default() });
+        drop(counts);
         let mut text = String::new();
         if !closes.is_empty() {
             text.push_str("; connections closed:");
@@ -105,6 +156,15 @@
                 let _ = write!(text, " {status} {count},");
             }
         }
+        for (name, now, before) in [
+            ("requests pipelined", totals.pipelined, last_totals.pipelined),
+            ("requests cut off", totals.cut_off, last_totals.cut_off),
+            ("bytes discarded", totals.discarded_bytes, last_totals.discarded_bytes),
+        ] {
+            if now > before {
+                let _ = write!(text, "; {name} {}", now - before);
+            }
+        }
         text
     }
 }
--- a/src/bin/foldtrack/client_stats_tests.rs
+++ b/src/bin/foldtrack/client_stats_tests.rs
@@ -16,6 +16,19 @@
     assert_eq!(stats.take_text(), "");
 }
 
+#[test]
+fn requests_cut_off_are_told_by_interval_and_since_the_start() {
+    let stats = ClientStats::default();
+    stats.record_pipelined(3);
+    stats.record_cut_off(2, 7, CloseReason::Terminating);
+    stats.record_discarded(90, 7, CloseReason::Idle);
+    assert_eq!(stats.take_text(), "; requests pipelined 3; requests cut off 2; bytes discarded 90");
+    stats.record_cut_off(1, 8, CloseReason::Idle);
+    assert_eq!(stats.take_text(), "; requests cut off 1");
+    assert_eq!(stats.take_text(), "");
+    assert_eq!(stats.totals(), ClientTotals { pipelined: 3, cut_off: 3, discarded_bytes: 90 });
+}
+
 #[test]
 fn single_rejections_are_logged_up_to_a_limit() {
     let stats = ClientStats::default();
--- a/src/bin/foldtrack/client_stream.rs
+++ b/src/bin/foldtrack/client_stream.rs
@@ -3,7 +3,9 @@
 
 use crate::admission::AdmissionWaiter;
 use crate::client_server::{HEAD_TIMEOUT, MAX_READ_DELAY};
+use crate::client_stats::ClientStats;
 use crate::events::ResponseGuard;
+use crate::request_framing::RequestFraming;
 use crate::streams::{has_poll_events, StreamObserver};
 use rustix::event::PollFlags;
 use std::io;
@@ -54,6 +56,8 @@
     pub too_late: bool,
     /// Besides, the client has disconnected meanwhile.
     pub client_gone: bool,
+    /// Requests of which something has been read, and whose responses are not written yet.
+    pub unanswered: u64,
 }
 
 /// State of a connection, shared by its observer, its service and its main loop.
@@ -64,6 +68,8 @@
 pub(crate) struct ClientObserver {
     pub state: ConnectionState,
     pub waiter: AdmissionWaiter,
+    pub framing: RequestFraming,
+    pub stats: ClientStats,
     /// Time that the connection may have waited in the accept queue; counts for its first request.
     pub queue_time: Duration,
 }
@@ -95,7 +101,14 @@
     }
 
     fn on_read(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.state.progress().request_started |= !bytes.is_empty();
+        let begun = count_begun(&mut self.framing, bytes);
+        let mut progress = self.state.progress();
+        progress.request_started |= !bytes.is_empty();
+        let pipelined = begun.saturating_sub(u64::from(progress.unanswered == 0));
+        progress.unanswered += begun;
+        if pipelined > 0 {
+            self.stats.record_pipelined(pipelined);
+        }
         Ok(())
     }
 
@@ -109,8 +122,22 @@
         if let Some(mut response_guard) = progress.response_guard.take() {
             response_guard.written = true;
         }
-        *progress = RequestProgress { idle_since: Some(Instant::now()), ..RequestProgress::default() };
+        let unanswered = progress.unanswered.saturating_sub(1);
+        *progress =
+            RequestProgress { idle_since: Some(Instant::now()), unanswered, ..RequestProgress::default() };
+    }
+}
+
+/// Number of requests whose first byte is among these bytes of a connection.
+fn count_begun(framing: &mut RequestFraming, mut bytes: &[u8]) -> u64 {
+    let mut begun = 0;
+    while !bytes.is_empty() {
+        let had_begun = framing.has_begun();
+        let end = framing.find_end(bytes);
+        begun += u64::from(!had_begun && (end.is_some() || framing.has_begun()));
+        bytes = &bytes[end.unwrap_or(bytes.len())..];
     }
+    begun
 }
 
 /// What to do with a connection whose idle timer has fired.
--- a/src/bin/foldtrack/draining.rs
+++ b/src/bin/foldtrack/draining.rs
@@ -1,6 +1,7 @@
 //! Draining after a hot restart: the old process completes its calls and serves its client connections, while the new
 //! owner of the write-ahead log decides about their messages. The two exchange frames until the old process ends.
 
+use crate::client_stats::ClientStats;
 use crate::clock::Clock;
 use crate::connection_limit::ConnectionLimit;
 use crate::events::{
@@ -214,6 +215,7 @@
     /// The sender that cancels each call, unless it has been used.
     pub calls: BTreeMap<(u64, u32), Option<oneshot::Sender<()>>>,
     pub metrics: Metrics,
+    pub client_stats: ClientStats,
     pub endpoint_counts: EndpointCounts,
     pub events: EventSender,
     pub settings: Arc<DeploymentSettings>,
@@ -320,6 +322,12 @@
                 }
             }
         };
+        log::info!(
+            "upgrade: this process ends: {} calls, {} requests and {} client connections left",
+            calls.len(),
+            replies.len(),
+            self.connection_limit.in_use()
+        );
         drop(frame_sender);
         let _ = timeout(FINAL_WRITE_TIMEOUT, writer_task).await;
         Ok(reason)
@@ -338,7 +346,12 @@
                 let _ = reply.send(match request {
                     AdminRequest::Metrics => AdminResponse::new(
                         StatusCode::OK,
-                        self.metrics.render(0, self.endpoint_counts, MemoryUsage::read()),
+                        self.metrics.render(
+                            0,
+                            self.endpoint_counts,
+                            MemoryUsage::read(),
+                            self.client_stats.totals(),
+                        ),
                     ),
                     _ => {
                         AdminResponse::new(StatusCode::SERVICE_UNAVAILABLE, "a new version has taken over\n")
@@ -369,6 +382,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::client_stats::ClientTotals;
     use crate::events;
     use serde_json::json;
 
@@ -382,6 +396,7 @@
         let mut process = DrainingProcess {
             calls: BTreeMap::new(),
             metrics: Metrics::new(&settings.class_names),
+            client_stats: ClientStats::default(),
             endpoint_counts: EndpointCounts::default(),
             events: events::channel().0,
             settings,
@@ -392,7 +407,12 @@
             exit_within: Duration::ZERO,
         };
         process.handle_event(NodeEvent::RefusedLate { class: 0 }, &mpsc::unbounded_channel().0);
-        let text = process.metrics.render(0, process.endpoint_counts, MemoryUsage::default());
+        let text = process.metrics.render(
+            0,
+            process.endpoint_counts,
+            MemoryUsage::default(),
+            ClientTotals::default(),
+        );
         assert!(text.contains("responses.note.shed=1"), "{text}");
     }
 }
--- a/src/bin/foldtrack/interval_stats.rs
+++ b/src/bin/foldtrack/interval_stats.rs
@@ -30,7 +30,7 @@
     handed_back: u32,
     given_up: u32,
     /// Clients that disconnected before their response was written.
-    pub clients_gone: u32,
+    clients_gone: u32,
     /// Connections refused since no client connection was free.
     pub connections_refused: u32,
     /// Client connections closed since a response stayed unread.
@@ -171,6 +171,13 @@
         }
     }
 
+    /// Counts a response that could not be written. Returns a log line for it, up to [`MAX_REFUSAL_LINES`] per interval.
+    pub fn record_unwritten_response(&mut self, id: &str) -> Option<String> {
+        self.clients_gone += 1;
+        let below_limit = self.clients_gone <= MAX_REFUSAL_LINES;
+        below_limit.then(|| format!("message {id}: its client disconnected before the response was written"))
+    }
+
     /// Counts a message that is refused when submitted. Returns a log line for it, up to [`MAX_REFUSAL_LINES`] per
     /// interval.
     pub fn record_refusal(&mut self, id: &str, reason: RefusalReason) -> Option<String> {
--- a/src/bin/foldtrack/main.rs
+++ b/src/bin/foldtrack/main.rs
@@ -32,6 +32,7 @@
 mod node;
 mod overload;
 mod report_client;
+mod request_framing;
 mod streams;
 mod submission;
 mod unread_responses;
--- a/src/bin/foldtrack/metrics.rs
+++ b/src/bin/foldtrack/metrics.rs
@@ -1,5 +1,6 @@
 //! The metrics that operators read: counters since the start of the process, and their text form.
 
+use crate::client_stats::ClientTotals;
 use crate::memory_usage::MemoryUsage;
 use hatchline::EndpointCounts;
 use std::fmt::Write;
@@ -57,7 +58,9 @@
     }
 
     /// Renders all metrics, one a line; `active` messages are accepted and not yet ended.
-    pub fn render(&self, active: usize, endpoints: EndpointCounts, memory: MemoryUsage) -> String {
+    pub fn render(
+        &self, active: usize, endpoints: EndpointCounts, memory: MemoryUsage, clients: ClientTotals,
+    ) -> String {
         let mut text = String::new();
         for ClassCounters { name, ok, shed, errors, tries } in &self.0 {
             for (counter, count) in [("ok", ok), ("shed", shed), ("errors", errors), ("tries", tries)] {
@@ -68,6 +71,9 @@
         let _ = writeln!(text, "active={active}\npool_size={listed}\npool_ejected={ejected}");
         let MemoryUsage { resident, peak } = memory;
         let _ = writeln!(text, "memory_bytes={resident}\nmemory_peak_bytes={peak}");
+        let ClientTotals { pipelined, cut_off, discarded_bytes } = clients;
+        let _ = writeln!(text, "client_requests_pipelined={pipelined}\nclient_requests_cut_off={cut_off}");
+        let _ = writeln!(text, "client_bytes_discarded={discarded_bytes}");
         text
     }
 }
@@ -84,11 +90,16 @@
         metrics.record_result(1, MessageResult::Error);
         metrics.record_result(7, MessageResult::Ok);
         (0..3).for_each(|_| metrics.record_attempt(1));
-        let text =
-            metrics.render(5, EndpointCounts { listed: 9, ejected: 2 }, MemoryUsage { resident: 7, peak: 8 });
+        let text = metrics.render(
+            5,
+            EndpointCounts { listed: 9, ejected: 2 },
+            MemoryUsage { resident: 7, peak: 8 },
+            ClientTotals { pipelined: 4, cut_off: 6, discarded_bytes: 10 },
+        );
         let expected = "responses.a.ok=1\nresponses.a.shed=0\nresponses.a.errors=0\nresponses.a.tries=0\n\
              responses.b.ok=0\nresponses.b.shed=1\nresponses.b.errors=1\nresponses.b.tries=3\n\
-             active=5\npool_size=9\npool_ejected=2\nmemory_bytes=7\nmemory_peak_bytes=8\n";
+             active=5\npool_size=9\npool_ejected=2\nmemory_bytes=7\nmemory_peak_bytes=8\n\
+             client_requests_pipelined=4\nclient_requests_cut_off=6\nclient_bytes_discarded=10\n";
         assert_eq!(text, expected);
     }
 }
--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -288,6 +288,7 @@
         }
         node.overload.record_delay(wake.elapsed());
     }
+    node.log_shutdown("this process ends");
     Ok(ExitReason::Completed)
 }
 
@@ -599,11 +600,23 @@
         let closing = self.terminated_at.is_some_and(|at| at.elapsed() >= ACCEPT_AFTER_TERMINATE);
         if closing && *self.stage.borrow() == LifecycleStage::Draining {
             self.stage.send_replace(LifecycleStage::Closing);
+            self.log_shutdown("no connection is accepted any more");
             // While the listener is open, the kernel would queue connections that nobody accepts.
             self.listener = None;
         }
     }
 
+    /// Logs a step of the shutdown, and what is left at that time.
+    fn log_shutdown(&self, step: &str) {
+        log::info!(
+            "foldtrack: {step}: {} client connections, {} messages, {} calls and {} notices left",
+            self.connection_limit.in_use(),
+            self.messages.len(),
+            self.calls.len(),
+            self.pending_notices.len()
+        );
+    }
+
     /// Whether the process, once told to end, may exit: no message, call or notice is left, no client
     /// connection is open or waits to be accepted, or [`TERMINATE_TIMEOUT`] has passed.
     fn may_exit(&self, accept_loop_ended: bool) -> bool {
--- a/src/bin/foldtrack/node/acceptance.rs
+++ b/src/bin/foldtrack/node/acceptance.rs
@@ -111,7 +111,9 @@
     /// Handles the end of a client's response. If it was written, the message is accepted and may be sent. If no response
     /// was written, since the client disconnected first each time, the message is discarded.
     pub(super) fn response_ended(&mut self, number: u64, written: bool) {
-        self.interval_stats.clients_gone += u32::from(!written);
+        if !written {
+            self.log_unwritten_response(number);
+        }
         let Some(held) = self.messages.get_mut(&number) else {
             return self.response_to_ended_message_ended(number, written);
         };
@@ -127,6 +129,13 @@
         }
     }
 
+    fn log_unwritten_response(&mut self, number: u64) {
+        let held = self.messages.get(&number).map(|held| held.message.id.as_str());
+        let id = held.or_else(|| self.pending_notices.get(&number).map(|pending| pending.id.as_str()));
+        let line = self.interval_stats.record_unwritten_response(id.unwrap_or("that has ended"));
+        line.into_iter().for_each(|line| log::info!("{line}"));
+    }
+
     /// Handles the end of a response to the client of a message that has ended undelivered: no notice is due if no client
     /// has been told that it is accepted.
     pub(super) fn response_to_ended_message_ended(&mut self, number: u64, written: bool) {
--- a/src/bin/foldtrack/node/operators.rs
+++ b/src/bin/foldtrack/node/operators.rs
@@ -48,7 +48,12 @@
             }
             AdminRequest::Metrics => AdminResponse::new(
                 StatusCode::OK,
-                self.metrics.render(self.messages.len(), self.policy.endpoint_counts(), MemoryUsage::read()),
+                self.metrics.render(
+                    self.messages.len(),
+                    self.policy.endpoint_counts(),
+                    MemoryUsage::read(),
+                    self.client_stats.totals(),
+                ),
             ),
             AdminRequest::Disable(name) => self.set_disabled(&name, true),
             AdminRequest::Enable(name) => self.set_disabled(&name, false),
--- a/src/bin/foldtrack/node/takeover.rs
+++ b/src/bin/foldtrack/node/takeover.rs
@@ -135,6 +135,7 @@
         DrainingProcess {
             calls: self.calls.into_iter().map(|(key, call)| (key, call.cancel)).collect(),
             metrics: self.metrics,
+            client_stats: self.client_stats,
             endpoint_counts: self.policy.endpoint_counts(),
             events: self.events,
             settings: self.settings,
--- a/src/bin/foldtrack/streams.rs
+++ b/src/bin/foldtrack/streams.rs
@@ -100,13 +100,15 @@
     }
 }
 
-/// Closes a connection after reading what the peer still sends, so that the last response is not lost.
-pub(crate) async fn lingering_close(mut stream: impl AsyncRead + AsyncWrite + Unpin) {
+/// Closes a connection after reading what the peer still sends, so that the last response is not lost. Returns how many
+/// bytes that was.
+pub(crate) async fn lingering_close(mut stream: impl AsyncRead + AsyncWrite + Unpin) -> usize {
     if stream.shutdown().await.is_err() {
-        return;
+        return 0;
     }
+    let mut discarded = 0;
     let discard_rest = async {
-        let (mut buffer, mut discarded) = (vec![0; 4096], 0);
+        let mut buffer = vec![0; 4096];
         while let Ok(n @ 1..) = stream.read(&mut buffer).await {
             discarded += n;
             if discarded > MAX_LINGER_BYTES {
@@ -115,4 +117,5 @@
         }
     };
     let _ = timeout(LINGER_TIMEOUT, discard_rest).await;
+    discarded
 }
