--- a/src/bin/foldtrack/client_server_tests.rs
+++ b/src/bin/foldtrack/client_server_tests.rs
@@ -220,6 +220,41 @@
     assert!(took.is_zero(), "the silent peer stayed for {took:?}");
 }
 
+/// A request of which a part has been read is refused where its connection has to make room: the client need not wait for
+/// a response in vain.
+#[tokio::test(start_paused = true)]
+async fn partial_request_is_refused_when_its_connection_is_evicted() {
+    const HEAD: &[u8] = b"POST /note HTTP/1.1\r\nHost: x\r\nX-Request-Id: m\r\nX-Deadline: 9000m\r\n\
+                          X-Consignee: dest=1\r\nContent-Length: 100\r\n\r\n";
+    for part in [&REQUEST[..30], HEAD] {
+        let connections = ConnectionLimit::new(1);
+        let (mut client, _stage, _events) = connect_with_limit(&connections).await;
+        client.write_all(part).await.unwrap();
+        sleep(Duration::from_millis(1)).await;
+        let _next = connections.acquire_within(CLOSE_DEADLINE).await.expect("the connection makes room");
+        let (response, _) = read_until_closed(&mut client).await;
+        assert!(response.starts_with("HTTP/1.1 503"), "{response:?} to {} bytes", part.len());
+    }
+}
+
+/// Guards against a message that is discarded though its client may know that it is accepted.
+#[tokio::test(start_paused = true)]
+async fn message_is_accepted_once_the_status_line_of_its_response_may_have_arrived() {
+    let (mut client, _stage, mut events) = connect_with_buffer(32, &ConnectionLimit::new(1)).await;
+    client.write_all(REQUEST).await.unwrap();
+    let (node_events, mut guard_events) = events::channel();
+    let Some(NodeEvent::Submit { reply, .. }) = events.recv().await else {
+        panic!("no message was submitted")
+    };
+    let _ = reply.send(SubmitResponse::Accepted(ResponseGuard::new(7, node_events)));
+    let mut status_line = [0; 23];
+    client.read_exact(&mut status_line).await.unwrap();
+    assert_eq!(&status_line, b"HTTP/1.1 202 Accepted\r\n");
+    drop(client);
+    let ended = guard_events.recv().await;
+    assert!(matches!(ended, Some(NodeEvent::ResponseEnded { number: 7, written: true })));
+}
+
 /// A message may be sent once its client can have received the response, and not before.
 #[tokio::test(start_paused = true)]
 async fn message_is_accepted_once_its_response_is_written_whole() {
--- a/tests/forwarder/hot_restart.rs
+++ b/tests/forwarder/hot_restart.rs
@@ -123,9 +123,9 @@
     let (target, _discovery, mut forwarder) = start_with_one_target(|_| OK);
     let mut connection = std::net::TcpStream::connect(forwarder.listen_address).unwrap();
     connection.set_read_timeout(Some(WAIT_LIMIT)).unwrap();
-    let text = String::from_utf8(fee_message("kept").bytes()).unwrap().replace("Connection: close\r\n", "");
+    let request = fee_message("kept").bytes_on_kept_connection();
     // The old process has received the first part when the successor takes over.
-    let (first_part, rest) = text.as_bytes().split_at(40);
+    let (first_part, rest) = request.split_at(40);
     connection.write_all(first_part).unwrap();
     sleep(MILLIS(100));
     let mut old_process = forwarder.start_successor();
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -8,6 +8,7 @@
 mod harness;
 mod hot_restart;
 mod log_output;
+mod pipelined_requests;
 mod repeated_requests;
 mod startup;
 mod unread_responses;
--- a/tests/forwarder/repeated_requests.rs
+++ b/tests/forwarder/repeated_requests.rs
@@ -72,13 +72,10 @@
 #[test]
 fn a_request_that_comes_again_at_the_other_process_of_a_hot_restart_is_sent_once() {
     let (target, _discovery, mut forwarder) = start_with_one_target(|_| OK);
-    let keep_open = |id: &str| {
-        String::from_utf8(fee_message(id).bytes()).unwrap().replace("Connection: close\r\n", "").into_bytes()
-    };
     let mut kept = TcpStream::connect(forwarder.listen_address).unwrap();
     kept.set_read_timeout(Some(WAIT_LIMIT)).unwrap();
     let mut submit_on_kept = |id: &str| {
-        kept.write_all(&keep_open(id)).unwrap();
+        kept.write_all(&fee_message(id).bytes_on_kept_connection()).unwrap();
         let mut response = [0; 1024];
         let n = kept.read(&mut response).unwrap();
         String::from_utf8_lossy(&response[..n]).split(' ').nth(1).unwrap().parse::<u16>().unwrap()
@@ -123,8 +120,7 @@
         let mut stream = TcpStream::connect(forwarder.listen_address).unwrap();
         let requests: Vec<u8> = (0..400)
             .flat_map(|n| {
-                let head = fee_message(&format!("m{n}")).with_body(vec![b'x'; body_bytes]).bytes();
-                String::from_utf8(head).unwrap().replace("Connection: close\r\n", "").into_bytes()
+                fee_message(&format!("m{n}")).with_body(vec![b'x'; body_bytes]).bytes_on_kept_connection()
             })
             .collect();
         stream.set_nonblocking(true).unwrap();
--- a/tests/forwarder/unread_responses.rs
+++ b/tests/forwarder/unread_responses.rs
@@ -21,9 +21,9 @@
     set_socket_recv_buffer_size(&stream, 4096).unwrap();
     stream.set_write_timeout(Some(MILLIS(100))).unwrap();
     thread::spawn(move || {
-        let message = String::from_utf8(message.bytes()).unwrap().replace("Connection: close\r\n", "");
+        let message = message.bytes_on_kept_connection();
         let requests = b"GET /healthz HTTP/1.1\r\nHost: f\r\n\r\n".repeat(100);
-        let mut open = stream.write_all(message.as_bytes()).is_ok();
+        let mut open = stream.write_all(&message).is_ok();
         let mut written = 0;
         while open && !stop.load(Ordering::Relaxed) {
             match stream.write(&requests[written..]) {
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -5,7 +5,7 @@
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use serde_json::{json, Value};
 use std::collections::{BTreeSet, HashMap};
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
@@ -497,9 +497,7 @@
     }
 
     pub fn connect(&self) -> ClientConnection {
-        let stream = TcpStream::connect(self.listen_address).unwrap();
-        stream.set_read_timeout(Some(WAIT_LIMIT)).unwrap();
-        ClientConnection { stream: BufReader::new(stream) }
+        ClientConnection::new(TcpStream::connect(self.listen_address).unwrap())
     }
 
     /// Submits a message and returns the status of the response; see [`submit_at`].
@@ -596,10 +594,23 @@
 }
 
 impl ClientConnection {
+    pub fn new(stream: TcpStream) -> ClientConnection {
+        stream.set_read_timeout(Some(WAIT_LIMIT)).unwrap();
+        ClientConnection { stream: BufReader::new(stream) }
+    }
+
     /// Sends a GET request and returns the head of the response in lower case, or `None` if the connection is closed.
     pub fn get(&mut self, path: &str) -> Option<String> {
-        let request = format!("GET {path} HTTP/1.1\r\nHost: f\r\n\r\n");
-        self.stream.get_mut().write_all(request.as_bytes()).ok()?;
+        self.send(format!("GET {path} HTTP/1.1\r\nHost: f\r\n\r\n").as_bytes()).ok()?;
+        self.read_head()
+    }
+
+    pub fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.get_mut().write_all(bytes)
+    }
+
+    /// Reads the head of the next response in lower case, or `None` if the connection is closed.
+    pub fn read_head(&mut self) -> Option<String> {
         let mut head = String::new();
         while !head.ends_with("\r\n\r\n") {
             self.stream.read_line(&mut head).ok().filter(|n| *n > 0)?;
@@ -613,14 +624,11 @@
     pub fn get_in_two_parts(&mut self, path: &str, pause: Duration) -> bool {
         let request = format!("GET {path} HTTP/1.1\r\nHost: f\r\n\r\n");
         let (first_part, rest) = request.as_bytes().split_at(9);
-        let stream = self.stream.get_mut();
-        if stream.write_all(first_part).is_err() {
+        if self.send(first_part).is_err() {
             return false;
         }
         thread::sleep(pause);
-        let mut head = String::new();
-        let bytes_read = stream.write_all(rest).and_then(|()| self.stream.read_line(&mut head));
-        bytes_read.is_ok_and(|n| n > 0)
+        self.send(rest).is_ok() && self.read_head().is_some()
     }
 }
 
@@ -663,11 +671,20 @@
         ClientMessage { body, ..self }
     }
 
-    /// The HTTP request that submits it.
+    /// The HTTP request that submits it, and lets the connection be closed.
     pub fn bytes(&self) -> Vec<u8> {
+        self.request("Connection: close\r\n")
+    }
+
+    /// The HTTP request that submits it on a connection that is used again.
+    pub fn bytes_on_kept_connection(&self) -> Vec<u8> {
+        self.request("")
+    }
+
+    fn request(&self, connection_header: &str) -> Vec<u8> {
         let ClientMessage { id, path, destination, deadline_ms, body } = self;
         let head = format!(
-            "POST {path} HTTP/1.1\r\nHost: f\r\nConnection: close\r\nX-Request-Id: {id}\r\nX-Deadline: {deadline_ms}m\r\n\
+            "POST {path} HTTP/1.1\r\nHost: f\r\n{connection_header}X-Request-Id: {id}\r\nX-Deadline: {deadline_ms}m\r\n\
              Idempotency-Key: key-of-{id}\r\nX-Consignee: dest={destination}\r\nContent-Length: {}\r\n\r\n",
             body.len()
         );
--- a/tests/peers/client_flood.rs
+++ b/tests/peers/client_flood.rs
@@ -67,8 +67,7 @@
 
 /// A message on a connection that stays open.
 fn message(id: &str, path: &str, destination: u32) -> Vec<u8> {
-    let message = ClientMessage { path: path.into(), ..fee_message(id) }.to(destination);
-    String::from_utf8(message.bytes()).unwrap().replace("Connection: close\r\n", "").into_bytes()
+    ClientMessage { path: path.into(), ..fee_message(id) }.to(destination).bytes_on_kept_connection()
 }
 
 /// Runs the client beside others, whose messages get their answers in time and end.
--- a/tests/peers/soak.rs
+++ b/tests/peers/soak.rs
@@ -203,8 +203,7 @@
             update_message(id, &format!("k{}", self.random.u8(..20)))
         };
         let message = message.to(destination).with_deadline_ms(deadline_ms).with_body(body);
-        let request =
-            String::from_utf8(message.bytes()).unwrap().replace("Connection: close\r\n", "").into_bytes();
+        let request = message.bytes_on_kept_connection();
         // A request without an answer comes again under its id.
         for _ in 0..2 {
             let answer = self.exchange(&request);
@@ -335,7 +334,7 @@
     let flood = plan.has_flood.then(|| {
         FloodClient::start(address, move |n| {
             let message = fee_message(&format!("s{seed}-flood-{n}{UNSAFE}")).with_deadline_ms(2_000);
-            String::from_utf8(message.bytes()).unwrap().replace("Connection: close\r\n", "").into_bytes()
+            message.bytes_on_kept_connection()
         })
     });
     let faults = plan.faults.clone();
