Answer each request that was read before its connection is closed

What callers saw: of several requests that a client sent at once, only the first was answered where the forwarder was told to terminate or had handed over; the connection was closed over the others, which it had read. A request whose start had come with the one before was cut off as well, as its connection counted as idle.

Cause: the state of a connection had room for one request, while HTTP/1.1 lets a client send the next before the last is answered. What the HTTP library had read ahead was known to nobody, so that a response said Connection: close over it.

Why it works: the stream passes one request at a time to the library and keeps what a read brings beyond it, so that it is known how many requests are unanswered. Only the response to the last of them closes the connection, and a connection that is being closed reads no further request. Two unit tests cut pipelined requests at every byte and close over a partial one.

Reads of 4 KiB keep the memory of a connection within its plan.

--- a/src/bin/foldtrack/client_server.rs
+++ b/src/bin/foldtrack/client_server.rs
@@ -3,13 +3,12 @@
 use crate::admission::{AdmissionLimiter, AdmissionWaiter};
 use crate::body_memory::BodyMemory;
 use crate::client_stats::{ClientStats, CloseReason};
-use crate::client_stream::{ClientObserver, ClientStream, ConnectionState, IdleCheck, RequestProgress};
+use crate::client_stream::{ClientStream, ConnectionState, IdleCheck, RequestProgress, RequestStream};
 use crate::clock::Clock;
 use crate::connection_limit::ConnectionPermit;
 use crate::events::{EventSender, LifecycleStage, NodeEvent, SubmitResponse};
 use crate::overload::OverloadMonitor;
-use crate::request_framing::RequestFraming;
-use crate::streams::{self, ObservedStream};
+use crate::streams;
 use crate::submission::{read_message, ReceivedMessage, BODY_TIMEOUT};
 use crate::unread_responses::{UnreadResponse, UnreadResponses};
 use bytes::Bytes;
@@ -121,13 +120,8 @@
     };
     let mut close_stage = pin!(close_stage);
     let (permit, state) = (&permit, ConnectionState::default());
-    let observer = ClientObserver {
-        state: state.clone(),
-        waiter: AdmissionWaiter::new(&context.read_limiter),
-        queue_time,
-        framing: RequestFraming::default(),
-        stats: context.client_stats.clone(),
-    };
+    let (waiter, stats) = (AdmissionWaiter::new(&context.read_limiter), context.client_stats.clone());
+    let stream = RequestStream::new(stream, state.clone(), waiter, stats.clone(), queue_time);
     let service = service_fn(|request| {
         let (context, state) = (context.clone(), state.clone());
         Box::pin(async move { Ok::<_, Infallible>(respond(request, &context, permit, &state).await) })
@@ -138,14 +132,13 @@
         .header_read_timeout(HEAD_TIMEOUT + HEAD_COMPLETION_TIMEOUT)
         // A client may half-close its connection after its request and still wait for the response.
         .half_close(true)
-        .serve_connection(TokioIo::new(ObservedStream { stream, observer }), service);
+        .serve_connection(TokioIo::new(stream), service);
     let mut response_timer = ResponseTimer {
         state: state.clone(),
         unread_responses: context.unread_responses.clone(),
         waiting: None,
     };
     let (mut evictable, mut closing, mut close_reason) = (true, false, CloseReason::Finished);
-    let stats = context.client_stats.clone();
     let mut idle_timer = pin!(sleep(HEAD_TIMEOUT));
     // A request that has arrived is read before the connection is told to close, as it would be cut off
     // without a response.
@@ -202,9 +195,11 @@
             },
             () = &mut close_stage, if !closing => {
                 (closing, close_reason) = (true, CloseReason::Terminating);
-                // The response to a request that has begun to arrive closes the connection.
-                let RequestProgress { request_started, read_pending, .. } = *state.progress();
-                if !request_started && !read_pending {
+                let mut progress = state.progress();
+                progress.closing = true;
+                // The response to the last request that has begun to arrive closes the connection.
+                if progress.is_idle() {
+                    drop(progress);
                     Pin::new(&mut http_connection).graceful_shutdown();
                 }
             }
@@ -250,7 +245,9 @@
     // the rest would be read.
     let rejected = answer.is_err();
     let mut response = answer.unwrap_or_else(empty_response);
-    if *context.stage.borrow() != LifecycleStage::Serving || rejected {
+    let last_response =
+        *context.stage.borrow() != LifecycleStage::Serving && !state.progress().has_read_ahead();
+    if last_response || rejected {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     state.progress().response_ready_at = Some(Instant::now());
--- a/src/bin/foldtrack/client_server_tests.rs
+++ b/src/bin/foldtrack/client_server_tests.rs
@@ -362,6 +362,54 @@
     assert!(response.contains("HTTP/1.1 202") && response.contains("connection: close"), "{response}");
 }
 
+#[tokio::test(start_paused = true)]
+async fn requests_that_arrive_together_are_answered_in_order_however_they_are_cut() {
+    const COUNT: usize = 4;
+    let with_body = [&String::from_utf8_lossy(REQUEST).replace("Length: 0", "Length: 3"), "abc"].concat();
+    let requests = [REQUEST, with_body.as_bytes()].concat().repeat(COUNT / 2);
+    for cut in 1..requests.len() {
+        let (mut client, _stage, mut events) = connect_with_limit(&ConnectionLimit::new(1)).await;
+        let sends = async {
+            client.write_all(&requests[..cut]).await.unwrap();
+            sleep(Duration::from_millis(1)).await;
+            client.write_all(&requests[cut..]).await.unwrap();
+        };
+        let accepts = async {
+            for number in 0..COUNT {
+                let Some(NodeEvent::Submit { message, reply, .. }) = events.recv().await else {
+                    panic!("request {number} cut at {cut} was not submitted")
+                };
+                assert_eq!(message.body.len(), number % 2 * 3, "request {number} cut at {cut}");
+                let _ = reply.send(SubmitResponse::Refused { retry_in_ms: 0 });
+            }
+        };
+        tokio::join!(sends, accepts);
+        let (responses, _) = read_until_closed(&mut client).await;
+        assert_eq!(responses.matches("HTTP/1.1 503").count(), COUNT, "cut at {cut}");
+    }
+}
+
+/// What has been read is answered, also where its rest comes while the connection closes, and no more is read.
+#[tokio::test(start_paused = true)]
+async fn closing_connection_answers_what_has_been_read_and_reads_no_further_request() {
+    let (mut client, stage, mut events) = connect_with_limit(&ConnectionLimit::new(1)).await;
+    let requests = REQUEST.repeat(4);
+    let (first_part, rest) = requests.split_at(2 * REQUEST.len() + 50);
+    client.write_all(first_part).await.unwrap();
+    accept_submission(&mut events).await;
+    accept_submission(&mut events).await;
+    sleep(Duration::from_millis(1)).await;
+    stage.send_replace(LifecycleStage::Closing);
+    sleep(2 * CLOSE_DELAY).await;
+    client.write_all(rest).await.unwrap();
+    accept_submission(&mut events).await;
+    let (responses, _) = read_until_closed(&mut client).await;
+    let last = responses.rsplit("HTTP/1.1 202").next();
+    assert_eq!(responses.matches("HTTP/1.1 202").count(), 3, "{responses}");
+    assert!(last.is_some_and(|last| last.contains("connection: close")), "{responses}");
+    assert!(events.try_recv().is_err(), "a request was read that is not answered");
+}
+
 /// Closing a socket with unread bytes resets the connection, which can discard a response in transit.
 #[tokio::test(start_paused = true)]
 async fn excess_data_is_read_while_the_connection_closes() {
--- a/src/bin/foldtrack/client_stream.rs
+++ b/src/bin/foldtrack/client_stream.rs
@@ -1,21 +1,26 @@
-//! The stream between a client's socket and the HTTP library: follows the requests on a connection, and delays the read
-//! of each until it is admitted.
+//! The stream between a client's socket and the HTTP library. It passes on one request at a time, however many a read
+//! brings, and delays each until it is admitted, so that it is known at any time what a connection still owes its client.
 
 use crate::admission::AdmissionWaiter;
 use crate::client_server::{HEAD_TIMEOUT, MAX_READ_DELAY};
 use crate::client_stats::ClientStats;
 use crate::events::ResponseGuard;
 use crate::request_framing::RequestFraming;
-use crate::streams::{has_poll_events, StreamObserver};
+use crate::streams::has_poll_events;
+use bytes::Bytes;
 use rustix::event::PollFlags;
 use std::io;
+use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+/// Bytes read at a time, and so the most that is read ahead.
+const MAX_READ_BYTES: usize = 4096;
+
 /// What a client's socket offers beyond reading and writing.
 pub(crate) trait ClientStream: AsyncRead + AsyncWrite + Unpin {
     /// Ready when there is something to read, or the client has closed its sending side.
@@ -35,12 +40,14 @@
     }
 }
 
-/// Progress of the current request of a connection.
+/// What is known of the requests on a connection.
 #[derive(Default)]
 pub(crate) struct RequestProgress {
-    /// Bytes of the request have arrived, and its response is not written yet.
-    pub request_started: bool,
-    /// The head of the request has arrived.
+    /// Requests of which something has been read, and whose responses are not written yet.
+    pub unanswered: u64,
+    /// The request that is passed on is not read whole yet. It may be answered already, such as one that is too large.
+    pub partially_read: bool,
+    /// The head of the current request has arrived.
     pub head_received: bool,
     /// When the previous response was written, if there was one.
     pub idle_since: Option<Instant>,
@@ -48,7 +55,7 @@
     pub response_ready_at: Option<Instant>,
     /// Reports whether that response was written, if it accepts a message.
     pub response_guard: Option<ResponseGuard>,
-    /// Data has arrived and waits to be read.
+    /// Data has arrived and waits to be passed on.
     pub read_pending: bool,
     /// Total time that the request may have waited to be read.
     pub queue_time: Duration,
@@ -56,24 +63,60 @@
     pub too_late: bool,
     /// Besides, the client has disconnected meanwhile.
     pub client_gone: bool,
-    /// Requests of which something has been read, and whose responses are not written yet.
-    pub unanswered: u64,
+    /// The connection is to be closed: nothing is read beyond the request that is partially read.
+    pub closing: bool,
 }
 
-/// State of a connection, shared by its observer, its service and its main loop.
-#[derive(Clone, Default)]
-pub(crate) struct ConnectionState(Arc<Mutex<RequestProgress>>);
+/// What to do with a connection whose idle timer has fired.
+pub(crate) enum IdleCheck {
+    /// Check again at this time.
+    RecheckAt(Instant),
+    /// Close it, as it is idle.
+    CloseIdle,
+    /// Drop it, as it has sent no request.
+    NoRequest,
+}
 
-/// Tracks the requests of a connection and delays the read of each until it is admitted.
-pub(crate) struct ClientObserver {
-    pub state: ConnectionState,
-    pub waiter: AdmissionWaiter,
-    pub framing: RequestFraming,
-    pub stats: ClientStats,
-    /// Time that the connection may have waited in the accept queue; counts for its first request.
-    pub queue_time: Duration,
+impl RequestProgress {
+    /// Whether no request has arrived that is not answered, as far as is known.
+    pub fn is_idle(&self) -> bool {
+        self.unanswered == 0 && !self.partially_read && !self.read_pending
+    }
+
+    /// Whether something of a further request has been read besides the current one.
+    pub fn has_read_ahead(&self) -> bool {
+        self.unanswered > 1
+    }
+
+    pub fn check_idle(&self) -> IdleCheck {
+        let now = Instant::now();
+        match self.idle_since {
+            None if !self.head_received => IdleCheck::NoRequest,
+            Some(at) if now < at + HEAD_TIMEOUT => IdleCheck::RecheckAt(at + HEAD_TIMEOUT),
+            Some(_) if self.is_idle() => IdleCheck::CloseIdle,
+            _ => IdleCheck::RecheckAt(now + HEAD_TIMEOUT),
+        }
+    }
+
+    /// Ends the current request, whose response has been written.
+    fn response_written(&mut self) {
+        if let Some(mut response_guard) = self.response_guard.take() {
+            response_guard.written = true;
+        }
+        *self = RequestProgress {
+            unanswered: self.unanswered.saturating_sub(1),
+            partially_read: self.partially_read,
+            idle_since: Some(Instant::now()),
+            closing: self.closing,
+            ..RequestProgress::default()
+        };
+    }
 }
 
+/// State of a connection, shared by its stream, its service and its main loop.
+#[derive(Clone, Default)]
+pub(crate) struct ConnectionState(Arc<Mutex<RequestProgress>>);
+
 impl ConnectionState {
     pub fn progress(&self) -> MutexGuard<'_, RequestProgress> {
         // Each change is an assignment, so a panic elsewhere leaves it consistent.
@@ -81,83 +124,150 @@
     }
 }
 
-impl<S: ClientStream> StreamObserver<S> for ClientObserver {
-    fn poll_read_allowed(&mut self, client: &S, cx: &mut Context) -> Poll<io::Result<()>> {
-        if self.state.progress().request_started {
+/// Bytes that one read has brought beyond the end of a request.
+struct ReadAhead {
+    bytes: Bytes,
+    arrived_at: Instant,
+}
+
+/// The client's stream as the HTTP library sees it.
+pub(crate) struct RequestStream<S> {
+    pub stream: S,
+    state: ConnectionState,
+    waiter: AdmissionWaiter,
+    stats: ClientStats,
+    /// Time that the connection may have waited in the accept queue; counts for its first request.
+    queue_time: Duration,
+    /// Follows the bytes that are passed on.
+    framing: RequestFraming,
+    read_ahead: Option<ReadAhead>,
+}
+
+impl<S: ClientStream> RequestStream<S> {
+    pub fn new(
+        stream: S, state: ConnectionState, waiter: AdmissionWaiter, stats: ClientStats, queue_time: Duration,
+    ) -> RequestStream<S> {
+        RequestStream {
+            stream,
+            state,
+            waiter,
+            stats,
+            queue_time,
+            framing: RequestFraming::default(),
+            read_ahead: None,
+        }
+    }
+
+    /// Waits until a request may be passed on, if the next bytes are the first of one.
+    fn poll_admitted(&mut self, cx: &mut Context) -> Poll<io::Result<()>> {
+        if self.framing.has_begun() {
             return Poll::Ready(Ok(()));
         }
-        ready!(client.poll_readable(cx))?;
+        if self.read_ahead.is_none() {
+            ready!(self.stream.poll_readable(cx))?;
+        }
         self.state.progress().read_pending = true;
         let waited = ready!(self.waiter.poll_admitted(cx));
+        let queue_time = match &self.read_ahead {
+            Some(read_ahead) => read_ahead.arrived_at.elapsed(),
+            None => waited + std::mem::take(&mut self.queue_time),
+        };
         let mut progress = self.state.progress();
         progress.read_pending = false;
         progress.too_late = waited >= MAX_READ_DELAY;
-        progress.queue_time = waited + std::mem::take(&mut self.queue_time);
-        if progress.too_late && client.has_hung_up() {
+        progress.queue_time = queue_time;
+        if progress.too_late && self.stream.has_hung_up() {
             progress.client_gone = true;
             return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
         }
         Poll::Ready(Ok(()))
     }
 
-    fn on_read(&mut self, bytes: &[u8]) -> io::Result<()> {
-        let begun = count_begun(&mut self.framing, bytes);
-        let mut progress = self.state.progress();
-        progress.request_started |= !bytes.is_empty();
-        let pipelined = begun.saturating_sub(u64::from(progress.unanswered == 0));
-        progress.unanswered += begun;
-        if pipelined > 0 {
-            self.stats.record_pipelined(pipelined);
-        }
-        Ok(())
+    /// Passes on what has been read ahead, up to the end of the request.
+    fn pass_read_ahead(&mut self, read_ahead: ReadAhead, buf: &mut ReadBuf) {
+        let ReadAhead { mut bytes, arrived_at } = read_ahead;
+        let available = bytes.len().min(buf.remaining());
+        let passed = self.framing.find_end(&bytes[..available]).unwrap_or(available);
+        buf.put_slice(&bytes.split_to(passed));
+        self.read_ahead = (!bytes.is_empty()).then_some(ReadAhead { bytes, arrived_at });
     }
 
-    fn on_flush(&mut self, _: &S, _: &mut Context) {
-        let mut progress = self.state.progress();
-        if progress.response_ready_at.is_none() {
-            return;
+    /// Reads from the client, and keeps back what is beyond the end of the request.
+    fn poll_read_client(&mut self, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+        let max_bytes = match self.state.progress().closing {
+            true => self.framing.known_remaining(),
+            false => MAX_READ_BYTES,
+        };
+        let mut piece = [0; MAX_READ_BYTES];
+        let mut piece = ReadBuf::new(&mut piece[..max_bytes.min(MAX_READ_BYTES).min(buf.remaining())]);
+        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut piece))?;
+        let had_begun = self.framing.has_begun();
+        let end = self.framing.find_end(piece.filled());
+        let begins = !had_begun && (end.is_some() || self.framing.has_begun());
+        let (passed, further) = piece.filled().split_at(end.unwrap_or(piece.filled().len()));
+        buf.put_slice(passed);
+        let further_requests = count_begun(further);
+        if !further.is_empty() {
+            let bytes = Bytes::copy_from_slice(further);
+            self.read_ahead = Some(ReadAhead { bytes, arrived_at: Instant::now() });
+            self.stats.record_pipelined(further_requests);
         }
-        // A response that was written whole is binding even if the client disconnects now: it may have
-        // arrived.
-        if let Some(mut response_guard) = progress.response_guard.take() {
-            response_guard.written = true;
-        }
-        let unanswered = progress.unanswered.saturating_sub(1);
-        *progress =
-            RequestProgress { idle_since: Some(Instant::now()), unanswered, ..RequestProgress::default() };
+        self.state.progress().unanswered += u64::from(begins) + further_requests;
+        Poll::Ready(Ok(()))
     }
 }
 
-/// Number of requests whose first byte is among these bytes of a connection.
-fn count_begun(framing: &mut RequestFraming, mut bytes: &[u8]) -> u64 {
-    let mut begun = 0;
-    while !bytes.is_empty() {
-        let had_begun = framing.has_begun();
-        let end = framing.find_end(bytes);
-        begun += u64::from(!had_begun && (end.is_some() || framing.has_begun()));
-        bytes = &bytes[end.unwrap_or(bytes.len())..];
+/// Number of requests that begin in these bytes, which follow the end of a request.
+fn count_begun(mut bytes: &[u8]) -> u64 {
+    let (mut framing, mut begun) = (RequestFraming::default(), 0);
+    while let Some(end) = framing.find_end(bytes) {
+        bytes = &bytes[end..];
+        begun += 1;
     }
-    begun
+    begun + u64::from(framing.has_begun())
 }
 
-/// What to do with a connection whose idle timer has fired.
-pub(crate) enum IdleCheck {
-    /// Check again at this time.
-    RecheckAt(Instant),
-    /// Close it, as it is idle.
-    CloseIdle,
-    /// Drop it, as it has sent no request.
-    NoRequest,
+impl<S: ClientStream> AsyncRead for RequestStream<S> {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        ready!(this.poll_admitted(cx))?;
+        match this.read_ahead.take() {
+            Some(read_ahead) => this.pass_read_ahead(read_ahead, buf),
+            None => ready!(this.poll_read_client(cx, buf))?,
+        }
+        this.state.progress().partially_read = this.framing.has_begun();
+        Poll::Ready(Ok(()))
+    }
 }
 
-impl RequestProgress {
-    pub fn check_idle(&self) -> IdleCheck {
-        let now = Instant::now();
-        match self.idle_since {
-            None if !self.head_received => IdleCheck::NoRequest,
-            Some(at) if now < at + HEAD_TIMEOUT => IdleCheck::RecheckAt(at + HEAD_TIMEOUT),
-            Some(_) if !self.request_started && !self.read_pending => IdleCheck::CloseIdle,
-            _ => IdleCheck::RecheckAt(now + HEAD_TIMEOUT),
+impl<S: ClientStream> AsyncWrite for RequestStream<S> {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>, cx: &mut Context, bufs: &[io::IoSlice],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    /// The HTTP library flushes the stream once it has written all that it holds.
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        ready!(Pin::new(&mut this.stream).poll_flush(cx))?;
+        let mut progress = this.state.progress();
+        if progress.response_ready_at.is_some() {
+            // A response that was written whole is binding even if the client disconnects now: it may have arrived.
+            progress.response_written();
         }
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
     }
 }
--- a/src/bin/foldtrack/connection.rs
+++ b/src/bin/foldtrack/connection.rs
@@ -104,7 +104,7 @@
         self.exchange.before_write(stream)
     }
 
-    fn on_flush(&mut self, _: &S, _: &mut Context) {
+    fn on_flush(&mut self) {
         let class = self.pending_class.swap(NOT_WRITING, Ordering::Relaxed);
         if class != NOT_WRITING {
             (self.on_written)(class);
--- a/src/bin/foldtrack/request_framing.rs
+++ b/src/bin/foldtrack/request_framing.rs
@@ -41,6 +41,15 @@
         !matches!(self.0, Position::Start)
     }
 
+    /// How many further bytes belong to the current request for certain: at least one.
+    pub fn known_remaining(&self) -> usize {
+        match self.0 {
+            Position::Body { remaining } => usize::try_from(remaining).unwrap_or(usize::MAX),
+            Position::Unframed => usize::MAX,
+            Position::Start | Position::Head { .. } => 1,
+        }
+    }
+
     /// Follows further bytes of the current request. If it ends within them, returns how many belong to it, and the next
     /// request becomes the current one.
     pub fn find_end(&mut self, bytes: &[u8]) -> Option<usize> {
--- a/src/bin/foldtrack/streams.rs
+++ b/src/bin/foldtrack/streams.rs
@@ -20,10 +20,6 @@
 /// Observes the reads and flushes of an [`ObservedStream`]. The HTTP library flushes a stream once it has
 /// written all that it holds.
 pub(crate) trait StreamObserver<S> {
-    /// Whether the stream may be read now.
-    fn poll_read_allowed(&mut self, _stream: &S, _cx: &mut Context) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
     /// Called with the bytes of each read, which an error fails.
     fn on_read(&mut self, _bytes: &[u8]) -> io::Result<()> {
         Ok(())
@@ -33,7 +29,7 @@
         Ok(())
     }
     /// Called after each completed flush.
-    fn on_flush(&mut self, _stream: &S, _cx: &mut Context) {}
+    fn on_flush(&mut self) {}
 }
 
 /// A stream with an observer.
@@ -45,7 +41,6 @@
 impl<S: AsyncRead + Unpin, T: StreamObserver<S> + Unpin> AsyncRead for ObservedStream<S, T> {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         let this = self.get_mut();
-        ready!(this.observer.poll_read_allowed(&this.stream, cx))?;
         let filled_before = buf.filled().len();
         ready!(Pin::new(&mut this.stream).poll_read(cx, buf))?;
         Poll::Ready(this.observer.on_read(&buf.filled()[filled_before..]))
@@ -74,7 +69,7 @@
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
         let this = self.get_mut();
         ready!(Pin::new(&mut this.stream).poll_flush(cx))?;
-        this.observer.on_flush(&this.stream, cx);
+        this.observer.on_flush();
         Poll::Ready(Ok(()))
     }
 
