Leave unread what crosses the close of a client connection

What callers saw: a request that arrived in the moment in which its connection was closed, idle or behind the response that closes it, was read and got no answer. A client sends a request once more only if it was not read; one that was read and gets no answer is lost.

Cause: every connection was closed by reading what still came, so that unread bytes would not reset it. That serves a peer that is still sending a request which has its answer; elsewhere it reads new requests, which cannot be answered behind the shutdown of the connection.

Why it works: only connections whose last request was rejected, invalid or not read whole are read to their end. All others end their sending side, wait without reading until the client has hung up, 0.2 s at most, and are closed.

--- a/src/bin/foldtrack/client_server.rs
+++ b/src/bin/foldtrack/client_server.rs
@@ -3,7 +3,9 @@
 use crate::admission::{AdmissionLimiter, AdmissionWaiter};
 use crate::body_memory::BodyMemory;
 use crate::client_stats::{ClientStats, CloseReason};
-use crate::client_stream::{ClientStream, ConnectionState, IdleCheck, RequestProgress, RequestStream};
+use crate::client_stream::{
+    close_unread, ClientStream, ConnectionState, IdleCheck, RequestProgress, RequestStream,
+};
 use crate::clock::Clock;
 use crate::connection_limit::ConnectionPermit;
 use crate::events::{EventSender, LifecycleStage, NodeEvent, SubmitResponse};
@@ -207,7 +209,8 @@
     }
     let client = http_connection.into_parts().io.into_inner().stream;
     // A message whose response was not written is not accepted: dropping the guard reports that.
-    let RequestProgress { client_gone, unanswered, .. } = std::mem::take(&mut *state.progress());
+    let RequestProgress { client_gone, unanswered, partially_read, rejected, .. } =
+        std::mem::take(&mut *state.progress());
     if client_gone {
         return streams::refuse_unread(client).await;
     }
@@ -215,6 +218,10 @@
     if unanswered > 0 && close_reason != CloseReason::InvalidRequest {
         stats.record_cut_off(unanswered, permit.number(), close_reason);
     }
+    let is_sending = partially_read || rejected || close_reason == CloseReason::InvalidRequest;
+    if !is_sending {
+        return close_unread(client).await;
+    }
     let discarded_bytes = streams::lingering_close(client).await;
     if discarded_bytes > 0 {
         stats.record_discarded(discarded_bytes, permit.number(), close_reason);
@@ -250,7 +257,9 @@
     if last_response || rejected {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    state.progress().response_ready_at = Some(Instant::now());
+    let mut progress = state.progress();
+    progress.rejected |= rejected;
+    progress.response_ready_at = Some(Instant::now());
     response
 }
 
--- a/src/bin/foldtrack/streams.rs
+++ b/src/bin/foldtrack/streams.rs
@@ -12,7 +12,7 @@
 
 /// Limits on the time and the bytes of a lingering close. Closing a socket with unread bytes resets the
 /// connection, which can discard a response that is still in transit.
-const LINGER_TIMEOUT: Duration = Duration::from_millis(200);
+pub(crate) const LINGER_TIMEOUT: Duration = Duration::from_millis(200);
 /// Limit on the time for writing a refusal.
 const REFUSAL_WRITE_TIMEOUT: Duration = Duration::from_millis(200);
 const MAX_LINGER_BYTES: usize = 256 * 1024;
--- a/tests/forwarder/pipelined_requests.rs
+++ b/tests/forwarder/pipelined_requests.rs
@@ -110,6 +110,22 @@
     }
 }
 
+/// Guards against the same behind the response that closes a connection.
+#[test]
+fn a_request_behind_the_last_response_at_shutdown_stays_unread() {
+    let (_target, _discovery, mut forwarder) = start_with_one_target(|_| OK);
+    let mut client = forwarder.connect();
+    assert!(client.get("/healthz").is_some());
+    forwarder.signal("TERM");
+    sleep(MILLIS(100));
+    let head = client.get("/healthz").expect("the last response");
+    assert!(head.contains("connection: close"), "{head}");
+    client.send(&messages(0..1)).unwrap();
+    sleep(MILLIS(400));
+    assert_eq!(metric(&forwarder, "client_bytes_discarded"), 0);
+    assert!(forwarder.wait_for_exit().success());
+}
+
 /// Guards against closing a new connection, since it has been silent, in the moment in which its first request arrives.
 #[test]
 fn a_first_request_that_begins_just_before_the_idle_timeout_gets_a_response() {
