Refuse a request of which a part was read before its connection is closed

What callers saw: a new connection was closed with no answer 2.2 s after it was made, or when it had to make room for another, although the first request on it was arriving; what had come of it had been read.

Cause: both closed the connection by whether a request had arrived whole, without regard to one that had begun.

Why it works: where the HTTP library is stopped over a request of which something has been read, and has not begun a response, 503 is written, which makes it harmless to send the request again. So it is for a head that does not come whole in its time.

--- a/src/bin/foldtrack/client_server.rs
+++ b/src/bin/foldtrack/client_server.rs
@@ -2,15 +2,13 @@
 
 use crate::admission::{AdmissionLimiter, AdmissionWaiter};
 use crate::body_memory::BodyMemory;
+use crate::client_close;
 use crate::client_stats::{ClientStats, CloseReason};
-use crate::client_stream::{
-    close_unread, ClientStream, ConnectionState, IdleCheck, RequestProgress, RequestStream,
-};
+use crate::client_stream::{ClientStream, ConnectionState, IdleCheck, RequestStream};
 use crate::clock::Clock;
 use crate::connection_limit::ConnectionPermit;
 use crate::events::{EventSender, LifecycleStage, NodeEvent, SubmitResponse};
 use crate::overload::OverloadMonitor;
-use crate::streams;
 use crate::submission::{read_message, ReceivedMessage, BODY_TIMEOUT};
 use crate::unread_responses::{UnreadResponse, UnreadResponses};
 use bytes::Bytes;
@@ -112,7 +110,7 @@
 /// Serves one client connection until it is closed.
 pub(crate) async fn serve_client(
     stream: impl ClientStream, context: Arc<ServerContext>,
-    (permit, mut evicted): (ConnectionPermit, oneshot::Receiver<()>), queue_time: Duration,
+    (connection_permit, mut evicted): (ConnectionPermit, oneshot::Receiver<()>), queue_time: Duration,
 ) {
     let mut stage = context.stage.clone();
     let close_stage = async {
@@ -121,7 +119,7 @@
         sleep(CLOSE_DELAY).await;
     };
     let mut close_stage = pin!(close_stage);
-    let (permit, state) = (&permit, ConnectionState::default());
+    let (permit, state) = (&connection_permit, ConnectionState::default());
     let (waiter, stats) = (AdmissionWaiter::new(&context.read_limiter), context.client_stats.clone());
     let stream = RequestStream::new(stream, state.clone(), waiter, stats.clone(), queue_time);
     let service = service_fn(|request| {
@@ -160,6 +158,9 @@
                 ConnectionEnd::Invalid(error) => {
                     if state.progress().client_gone {
                         stats.record_close(CloseReason::ClientGone);
+                    } else if error.is_timeout() {
+                        close_reason = CloseReason::NoRequest;
+                        stats.record_close(close_reason);
                     } else {
                         close_reason = CloseReason::InvalidRequest;
                         stats.record_invalid_request(&error);
@@ -175,12 +176,12 @@
             signal = &mut evicted, if evictable => {
                 evictable = false;
                 if signal.is_ok() && !permit.decline_eviction() {
-                    stats.record_close(CloseReason::Evicted);
-                    let unanswered = state.progress().unanswered;
-                    if unanswered > 0 {
-                        stats.record_cut_off(unanswered, permit.number(), CloseReason::Evicted);
+                    close_reason = CloseReason::Evicted;
+                    stats.record_close(close_reason);
+                    if state.progress().unanswered == 0 {
+                        return;
                     }
-                    return;
+                    break;
                 }
             }
             () = &mut idle_timer, if !closing => match state.progress().check_idle() {
@@ -208,24 +209,10 @@
         }
     }
     let client = http_connection.into_parts().io.into_inner().stream;
+    let mut progress = std::mem::take(&mut *state.progress());
     // A message whose response was not written is not accepted: dropping the guard reports that.
-    let RequestProgress { client_gone, unanswered, partially_read, rejected, .. } =
-        std::mem::take(&mut *state.progress());
-    if client_gone {
-        return streams::refuse_unread(client).await;
-    }
-    // The HTTP library answers an invalid request by itself.
-    if unanswered > 0 && close_reason != CloseReason::InvalidRequest {
-        stats.record_cut_off(unanswered, permit.number(), close_reason);
-    }
-    let is_sending = partially_read || rejected || close_reason == CloseReason::InvalidRequest;
-    if !is_sending {
-        return close_unread(client).await;
-    }
-    let discarded_bytes = streams::lingering_close(client).await;
-    if discarded_bytes > 0 {
-        stats.record_discarded(discarded_bytes, permit.number(), close_reason);
-    }
+    drop(progress.response_guard.take());
+    client_close::close(client, connection_permit, &progress, close_reason, &stats).await;
 }
 
 /// A response without a body.
--- a/src/bin/foldtrack/client_server_tests.rs
+++ b/src/bin/foldtrack/client_server_tests.rs
@@ -4,6 +4,7 @@
 use super::*;
 use crate::connection_limit::ConnectionLimit;
 use crate::events::{self, ResponseGuard};
+use crate::streams;
 use serde_json::json;
 use std::io;
 use tokio::io::{duplex, AsyncReadExt, AsyncWriteExt, DuplexStream};
--- a/src/bin/foldtrack/client_stream.rs
+++ b/src/bin/foldtrack/client_stream.rs
@@ -6,7 +6,7 @@
 use crate::client_stats::ClientStats;
 use crate::events::ResponseGuard;
 use crate::request_framing::RequestFraming;
-use crate::streams::{has_poll_events, LINGER_TIMEOUT};
+use crate::streams::has_poll_events;
 use bytes::Bytes;
 use rustix::event::PollFlags;
 use std::io;
@@ -14,14 +14,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::Instant;
 
 /// Bytes read at a time, and so the most that is read ahead.
 const MAX_READ_BYTES: usize = 4096;
-/// Interval between two looks at whether a client has hung up.
-const HANG_UP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// What a client's socket offers beyond reading and writing.
 pub(crate) trait ClientStream: AsyncRead + AsyncWrite + Unpin {
@@ -129,21 +127,6 @@
     }
 }
 
-/// Closes a connection on which no response is due. What crosses the close is not read, since it can no longer be
-/// answered: a client sends a request once more only if that was not read.
-pub(crate) async fn close_unread(mut stream: impl ClientStream) {
-    if stream.shutdown().await.is_err() {
-        return;
-    }
-    // To close over unread bytes resets the connection: the client has time to read the last response before.
-    let hang_up = async {
-        while !stream.has_hung_up() {
-            sleep(HANG_UP_CHECK_INTERVAL).await;
-        }
-    };
-    let _ = timeout(LINGER_TIMEOUT, hang_up).await;
-}
-
 /// Bytes that one read has brought beyond the end of a request.
 struct ReadAhead {
     bytes: Bytes,
--- a/src/bin/foldtrack/connection_limit.rs
+++ b/src/bin/foldtrack/connection_limit.rs
@@ -39,6 +39,7 @@
     silent: EvictionQueue,
     ticket: EvictionTicket,
     active: AtomicBool,
+    refusals: Arc<Semaphore>,
     _permit: OwnedSemaphorePermit,
 }
 
@@ -104,6 +105,7 @@
             silent: self.silent.clone(),
             ticket,
             active: AtomicBool::new(false),
+            refusals: self.refusals.clone(),
             _permit: permit,
         };
         Some((permit, evicted))
@@ -117,6 +119,11 @@
         self.ticket.leave();
     }
 
+    /// Makes room for another connection while this one is being refused, unless too many refusals are under way.
+    pub fn into_refusal(self) -> Option<OwnedSemaphorePermit> {
+        self.refusals.clone().try_acquire_owned().ok()
+    }
+
     /// Number of the connection, from 1 in the order of arrival.
     pub fn number(&self) -> u64 {
         self.ticket.number()
--- a/src/bin/foldtrack/main.rs
+++ b/src/bin/foldtrack/main.rs
@@ -7,6 +7,7 @@
 mod admission;
 mod body_memory;
 mod calls;
+mod client_close;
 mod client_server;
 mod client_stats;
 mod client_stream;
--- a/src/bin/foldtrack/streams.rs
+++ b/src/bin/foldtrack/streams.rs
@@ -87,12 +87,17 @@
 
 /// Responds 503 to a connection without reading what it has sent, and closes it.
 pub(crate) async fn refuse_unread(mut stream: impl AsyncRead + AsyncWrite + Unpin) {
+    if write_refusal(&mut stream).await {
+        lingering_close(stream).await;
+    }
+}
+
+/// Responds 503. Returns whether the response could be written.
+pub(crate) async fn write_refusal(stream: &mut (impl AsyncWrite + Unpin)) -> bool {
     const REFUSAL: &[u8] =
         b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
     // Earlier responses may fill the send buffer of a peer that reads none.
-    if let Ok(Ok(())) = timeout(REFUSAL_WRITE_TIMEOUT, stream.write_all(REFUSAL)).await {
-        lingering_close(stream).await;
-    }
+    matches!(timeout(REFUSAL_WRITE_TIMEOUT, stream.write_all(REFUSAL)).await, Ok(Ok(())))
 }
 
 /// Closes a connection after reading what the peer still sends, so that the last response is not lost. Returns how many
