Accept a message once a part of its response may have arrived

What callers saw: a client whose connection broke within the response could have read 202, while its message was discarded, neither sent nor reported.

Cause: a message counted as accepted only once its response was written whole. What the client knows begins with the status line.

Why it works: the first byte that the system takes of the response makes it binding. The message is still not sent before the response is complete or its connection at its end. What is sent for a client that has given up harms nobody; the other way round a message is lost.

--- a/src/bin/foldtrack/client_server.rs
+++ b/src/bin/foldtrack/client_server.rs
@@ -210,7 +210,7 @@
     }
     let client = http_connection.into_parts().io.into_inner().stream;
     let mut progress = std::mem::take(&mut *state.progress());
-    // A message whose response was not written is not accepted: dropping the guard reports that.
+    // Dropping the guard reports whether something of the response was written: otherwise its message is not accepted.
     drop(progress.response_guard.take());
     client_close::close(client, connection_permit, &progress, close_reason, &stats).await;
 }
--- a/src/bin/foldtrack/client_stream.rs
+++ b/src/bin/foldtrack/client_stream.rs
@@ -53,7 +53,7 @@
     pub idle_since: Option<Instant>,
     /// Since when the HTTP library has the response: the next flush completes it.
     pub response_ready_at: Option<Instant>,
-    /// Reports whether that response was written, if it accepts a message.
+    /// Reports whether something of that response was written, if it accepts a message.
     pub response_guard: Option<ResponseGuard>,
     /// Data has arrived and waits to be passed on.
     pub read_pending: bool,
@@ -100,11 +100,15 @@
         }
     }
 
-    /// Ends the current request, whose response has been written.
-    fn response_written(&mut self) {
-        if let Some(mut response_guard) = self.response_guard.take() {
-            response_guard.written = true;
+    /// Notes that this much of the current response has been written. From then on its client may know what it says.
+    fn response_begun(&mut self, written_bytes: usize) {
+        if let Some(response_guard) = &mut self.response_guard {
+            response_guard.written |= written_bytes > 0;
         }
+    }
+
+    /// Ends the current request, whose response has been written whole.
+    fn response_written(&mut self) {
         *self = RequestProgress {
             unanswered: self.unanswered.saturating_sub(1),
             partially_read: self.partially_read,
@@ -245,13 +249,19 @@
 
 impl<S: ClientStream> AsyncWrite for RequestStream<S> {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(cx, buf)
+        let this = self.get_mut();
+        let written = ready!(Pin::new(&mut this.stream).poll_write(cx, buf))?;
+        this.state.progress().response_begun(written);
+        Poll::Ready(Ok(written))
     }
 
     fn poll_write_vectored(
         self: Pin<&mut Self>, cx: &mut Context, bufs: &[io::IoSlice],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, bufs)
+        let this = self.get_mut();
+        let written = ready!(Pin::new(&mut this.stream).poll_write_vectored(cx, bufs))?;
+        this.state.progress().response_begun(written);
+        Poll::Ready(Ok(written))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -264,7 +274,6 @@
         ready!(Pin::new(&mut this.stream).poll_flush(cx))?;
         let mut progress = this.state.progress();
         if progress.response_ready_at.is_some() {
-            // A response that was written whole is binding even if the client disconnects now: it may have arrived.
             progress.response_written();
         }
         Poll::Ready(Ok(()))
--- a/src/bin/foldtrack/events.rs
+++ b/src/bin/foldtrack/events.rs
@@ -35,7 +35,7 @@
 
 /// The node's response to a submitted message.
 pub(crate) enum SubmitResponse {
-    /// The message is accepted once the response has been written.
+    /// The message is accepted once something of the response has been written, and nothing more of it will be.
     Accepted(ResponseGuard),
     /// The message is refused, with this Retry-After; 0 for none.
     Refused { retry_in_ms: u64 },
@@ -45,7 +45,8 @@
     Failed,
 }
 
-/// Reports to the node, when dropped, whether the client's response has been written.
+/// Reports to the node, when dropped, whether something of the client's response has been written: it is binding then,
+/// since the client may know what it says.
 pub(crate) struct ResponseGuard {
     /// Number of the message.
     number: u64,
@@ -78,7 +79,7 @@
         client: ClientId,
         reply: oneshot::Sender<SubmitResponse>,
     },
-    /// The response that accepts a message has been written, or the client disconnected first.
+    /// The response that accepts a message has been written, in part at least, or the client disconnected first.
     ResponseEnded {
         number: u64,
         written: bool,
