--- a/src/bin/foldtrack/hot_restart.rs
+++ b/src/bin/foldtrack/hot_restart.rs
@@ -42,7 +42,7 @@
 
 impl LogLock {
     /// Takes the lock, unless another process holds it.
-    fn try_acquire(state_directory: &Path) -> io::Result<Option<LogLock>> {
+    pub fn try_acquire(state_directory: &Path) -> io::Result<Option<LogLock>> {
         let file = File::options().create(true).append(true).open(state_directory.join("lock"))?;
         match file.try_lock() {
             Ok(()) => Ok(Some(LogLock(file))),
--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -638,3 +638,7 @@
         [timer, stop].into_iter().flatten().min().unwrap_or_else(|| Instant::now() + MAINTENANCE_INTERVAL)
     }
 }
+
+#[cfg(test)]
+#[path = "node_tests.rs"]
+mod tests;
--- /dev/null
+++ b/src/bin/foldtrack/node_tests.rs
@@ -0,0 +1,108 @@
+//! Tests of the node without clients and endpoints, one round at a time.
+
+use super::*;
+use crate::events;
+use tempfile::TempDir;
+
+const MILLISECOND: Micros = 1_000;
+
+/// A node and the events that are reported to it.
+struct TestNode {
+    node: Node,
+    receiver: UnboundedReceiver<NodeEvent>,
+    _directory: TempDir,
+}
+
+impl TestNode {
+    /// A node whose one destination has an endpoint in this state.
+    fn new(endpoint_state: &str) -> TestNode {
+        let directory = tempfile::tempdir().unwrap();
+        let settings = json!({
+            "balancers": 1,
+            "categories": [{"name": "note", "aim": 3_000_000, "deadline": 16_000_000, "effect": "repeatable",
+                "one_at_a_time": true}],
+            "family_info": {"slots": 8},
+            "limits": {"max_open": 16, "try_limit": 6, "conn_idle": 15_000_000, "dial_timeout": 1_000_000},
+            "tick": 5_000,
+        });
+        let config = Config {
+            listen_address: "127.0.0.1:0".parse().unwrap(),
+            discovery_address: "127.0.0.1:1".parse().unwrap(),
+            admin_address: None,
+            state_directory: directory.path().into(),
+            seed: 1,
+            max_sockets: 64,
+            disk_bytes: 1_000_000,
+            memory_bytes: 32_000_000,
+            known_endpoints: endpoint_list(1, endpoint_state),
+            settings: Arc::new(serde_json::from_value(settings).unwrap()),
+        };
+        let (events, receiver) = events::channel();
+        let lock = LogLock::try_acquire(directory.path()).unwrap().unwrap();
+        let node = Node::restore_from_log(&config, &events, lock).unwrap();
+        TestNode { node, receiver, _directory: directory }
+    }
+
+    /// Handles what has been reported since the last round.
+    fn run_round(&mut self) {
+        let mut batch: Vec<_> = std::iter::from_fn(|| self.receiver.try_recv().ok()).collect();
+        self.node.run_round(&mut batch);
+    }
+
+    /// Submits a message under the one order key, and returns the response that accepts it, which is not written yet.
+    fn submit(&mut self, id: &str, time_left: Micros) -> ResponseGuard {
+        let message = Message {
+            id: id.into(),
+            class: 0,
+            destination: 1,
+            order_key: "key".into(),
+            idempotency_key: None,
+            retry_header: None,
+            expires_at: self.node.clock.now() + time_left,
+            body: "x".into(),
+        };
+        let (reply, mut response) = oneshot::channel();
+        self.node.submit(Arc::new(message), UNKNOWN_CLIENT, reply);
+        self.run_round();
+        match response.try_recv() {
+            Ok(SubmitResponse::Accepted(guard)) => guard,
+            _ => panic!("{id} is not accepted"),
+        }
+    }
+
+    /// Ends a response, written or not.
+    fn end_response(&mut self, mut guard: ResponseGuard, written: bool) {
+        guard.written = written;
+        drop(guard);
+        self.run_round();
+    }
+}
+
+fn endpoint_list(version: u64, state: &str) -> ServerList {
+    let entry = json!({"id": "s-1", "addr": "127.0.0.1:1", "zone": "z", "kind": "k", "cell": 1, "state": state,
+        "weight": 0.0, "started_ms": 0});
+    serde_json::from_value(json!({"version": version, "full": true, "servers": [entry]})).unwrap()
+}
+
+/// Guards against a message that waits for good for a notice which is taken back, since the client of the message before
+/// it has not been told that that one is accepted.
+#[tokio::test(start_paused = true)]
+async fn order_key_goes_on_when_the_notice_that_it_waits_for_is_taken_back() {
+    let mut test = TestNode::new("leaving");
+    let first_response = test.submit("first", 50 * MILLISECOND);
+    tokio::time::advance(Duration::from_millis(50)).await;
+    test.run_round();
+    assert_eq!(test.node.pending_notices.len(), 1, "the first message has expired");
+    test.node.update_endpoints(endpoint_list(2, "active"), ListKind::Full);
+    let second_response = test.submit("second", 9_000 * MILLISECOND);
+    test.end_response(second_response, true);
+    let waiting = test.node.messages.values().filter(|held| held.pending_send.is_some()).count();
+    assert_eq!(
+        (waiting, test.node.calls.len()),
+        (1, 0),
+        "the second message waits for the notice of the first"
+    );
+    test.end_response(first_response, false);
+    assert!(test.node.pending_notices.is_empty());
+    assert_eq!(test.node.calls.len(), 1, "the second message is sent");
+}
