End a message whose send waits for a response or a notice that never comes

What callers saw: an accepted message in order was neither delivered nor reported. It waited for the notice of the message before, which was taken back since the client of that one was never told that it is accepted; nobody told the message that waited. Likewise a message whose own response was being written ended only with it, past its deadline.

Cause: pending sends were started by one of the two events that end their wait, and expired only while notices were pending.

Why it works: a notice that goes, acknowledged or taken back, starts what waits for its order key. The sends that wait are a set of their own, whatever they wait for, and each expires at its own time.

--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -173,6 +173,8 @@
     messages: BTreeMap<u64, HeldMessage>,
     /// Messages submitted in this round whose clients still wait for a response.
     undecided: Vec<u64>,
+    /// Messages with a pending send that has to wait.
+    waiting_sends: BTreeSet<u64>,
     /// Undelivered messages whose notices are not acknowledged yet, and those of them that are to be sent
     /// now.
     pending_notices: BTreeMap<u64, PendingNotice>,
@@ -322,6 +324,7 @@
             request_history: RequestHistory::new((max_log_bytes / ENDED_REQUESTS_DIVISOR) as usize),
             messages: BTreeMap::new(),
             undecided: Vec::new(),
+            waiting_sends: BTreeSet::new(),
             pending_notices: BTreeMap::new(),
             unsent_notices: BTreeSet::new(),
             calls: BTreeMap::new(),
--- a/src/bin/foldtrack/node/acceptance.rs
+++ b/src/bin/foldtrack/node/acceptance.rs
@@ -147,8 +147,9 @@
         }
         self.append_record(number, &LogRecord::Completed);
         self.unsent_notices.remove(&number);
-        if let Some(PendingNotice { id, .. }) = self.pending_notices.remove(&number) {
+        if let Some(PendingNotice { id, order_key, .. }) = self.pending_notices.remove(&number) {
             self.request_history.forget(&id);
+            self.start_send_waiting_for(order_key);
         }
     }
 
--- a/src/bin/foldtrack/node/attempts.rs
+++ b/src/bin/foldtrack/node/attempts.rs
@@ -7,15 +7,17 @@
     /// until the notice of an earlier message with the same order key is acknowledged, which completes that
     /// message.
     pub(super) fn start_pending_send(&mut self, number: u64) {
-        let Some(held) =
-            self.messages.get_mut(&number).filter(|held| matches!(held.acceptance, Acceptance::Accepted))
-        else {
-            return;
-        };
+        let Some(held) = self.messages.get_mut(&number) else { return };
         let key = held.message.order_key_hash();
-        if key != 0 && self.pending_notices.values().any(|pending| pending.order_key == key) {
+        let waits_for_notice =
+            key != 0 && self.pending_notices.values().any(|pending| pending.order_key == key);
+        if waits_for_notice || !matches!(held.acceptance, Acceptance::Accepted) {
+            if held.pending_send.is_some() {
+                self.waiting_sends.insert(number);
+            }
             return;
         }
+        self.waiting_sends.remove(&number);
         let Some(PendingSend { attempt, target, until, decided_at }) = held.pending_send.take() else {
             return;
         };
@@ -27,17 +29,26 @@
         self.start_call(number, attempt, target, until);
     }
 
-    /// Returns pending sends that have timed out to the policy. A send that waits for a notice to be
-    /// acknowledged could otherwise stay without an outcome, and its message would never end.
+    /// Starts the send that waits for the notice of an earlier message with this order key, if that was the last one.
+    pub(super) fn start_send_waiting_for(&mut self, order_key: u64) {
+        let has_key = |number: &u64| {
+            let held = self.messages.get(number);
+            held.is_some_and(|held| held.message.order_key_hash() == order_key)
+        };
+        let waiting = self.waiting_sends.iter().copied().find(|number| order_key != 0 && has_key(number));
+        waiting.into_iter().for_each(|number| self.start_pending_send(number));
+    }
+
+    /// Returns pending sends that have timed out to the policy: a send that waits for a response or a notice could
+    /// otherwise stay without an outcome, and its message would never end.
     pub(super) fn expire_pending_sends(&mut self) {
-        if self.pending_notices.is_empty() {
-            return;
-        }
         let now = self.clock.now();
-        let take_expired = |held: &mut HeldMessage| held.pending_send.take_if(|send| send.until <= now);
-        let held_messages = self.messages.iter_mut();
-        let expired: Vec<_> =
-            held_messages.filter_map(|(number, held)| Some((*number, take_expired(held)?))).collect();
+        let mut expired = Vec::new();
+        self.waiting_sends.retain(|number| {
+            let Some(held) = self.messages.get_mut(number) else { return false };
+            expired.extend(held.pending_send.take_if(|send| send.until <= now).map(|send| (*number, send)));
+            held.pending_send.is_some()
+        });
         for (number, PendingSend { attempt, target, .. }) in expired {
             self.notify_outcome(number, attempt, target, Outcome::NotSent, false);
         }
--- a/src/bin/foldtrack/node/notices.rs
+++ b/src/bin/foldtrack/node/notices.rs
@@ -74,18 +74,13 @@
     /// that.
     pub(super) fn notices_acknowledged(&mut self, numbers: Vec<u64>) {
         for number in numbers {
-            let key = match self.pending_notices.remove(&number) {
-                Some(PendingNotice { id, order_key, expires_at, notice, .. }) => {
-                    self.append_completion(number, id, expires_at, request_end(notice));
-                    order_key
-                }
-                None => 0,
+            let Some(PendingNotice { id, order_key, expires_at, notice, .. }) =
+                self.pending_notices.remove(&number)
+            else {
+                continue;
             };
-            let is_next = |held: &HeldMessage| {
-                key != 0 && held.pending_send.is_some() && held.message.order_key_hash() == key
-            };
-            let waiting = self.messages.iter().find(|(_, held)| is_next(held)).map(|(number, _)| *number);
-            waiting.into_iter().for_each(|next| self.start_pending_send(next));
+            self.append_completion(number, id, expires_at, request_end(notice));
+            self.start_send_waiting_for(order_key);
         }
     }
 }
--- a/src/bin/foldtrack/node/takeover.rs
+++ b/src/bin/foldtrack/node/takeover.rs
@@ -73,6 +73,7 @@
                 decided_at,
             });
             self.request_history.hold(&message.id, number);
+            self.waiting_sends.extend(pending_send.is_some().then_some(number));
             let client = UNKNOWN_CLIENT;
             let held = HeldMessage { message, client, acceptance, pending_responses, attempts, pending_send };
             self.messages.insert(number, held);
--- a/src/bin/foldtrack/node_tests.rs
+++ b/src/bin/foldtrack/node_tests.rs
@@ -106,3 +106,17 @@
     assert!(test.node.pending_notices.is_empty());
     assert_eq!(test.node.calls.len(), 1, "the second message is sent");
 }
+
+/// Guards against a message whose send waits for its response: it would end only with the response, past its deadline.
+#[tokio::test(start_paused = true)]
+async fn message_ends_in_time_though_its_response_is_still_being_written() {
+    let mut test = TestNode::new("active");
+    let _response = test.submit("first", 50 * MILLISECOND);
+    assert_eq!(test.node.waiting_sends.len(), 1, "the message is sent once its response is written");
+    for _ in 0..5 {
+        tokio::time::advance(Duration::from_millis(10)).await;
+        test.run_round();
+    }
+    assert!(test.node.messages.is_empty() && test.node.waiting_sends.is_empty());
+    assert_eq!(test.node.pending_notices.len(), 1);
+}
