Soak with requests sent at once, and read nothing of a client that has gone

What callers saw: nothing new. The soak, extended for the incident, lets clients send up to four requests at once, cut them anywhere, rest until their connection is closed, and use it until the kill, with signals in series while the process drains. By the metrics no request that was read may be left without an answer in runs without a crowd. How late the latest message ended is printed, not checked.

--- a/src/bin/foldtrack/client_close.rs
+++ b/src/bin/foldtrack/client_close.rs
@@ -21,6 +21,9 @@
     if progress.client_gone {
         return streams::refuse_unread(client).await;
     }
+    if reason == CloseReason::Disconnected && !progress.rejected {
+        return;
+    }
     // The HTTP library answers an invalid request by itself.
     if progress.unanswered > 0 && reason != CloseReason::InvalidRequest {
         if may_refuse(progress, reason) && streams::write_refusal(&mut client).await {
--- a/src/bin/foldtrack/client_server.rs
+++ b/src/bin/foldtrack/client_server.rs
@@ -74,8 +74,8 @@
 enum ConnectionEnd {
     /// The client has closed it, or all that was due on it is done.
     Finished,
-    /// The client has disconnected, or what it sent is not HTTP or exceeds a limit.
-    Invalid(hyper::Error),
+    /// The client has disconnected, or what it sent is not HTTP, exceeds a limit or does not come in time.
+    Failed(hyper::Error),
     /// The client has left its response unread for too long.
     ResponseUnread,
 }
@@ -148,22 +148,24 @@
             // Polled after the connection, so that a response that has just been written is not late.
             end = poll_fn(|cx| match http_connection.poll_without_shutdown(cx) {
                 Poll::Ready(Ok(())) => Poll::Ready(ConnectionEnd::Finished),
-                Poll::Ready(Err(error)) => Poll::Ready(ConnectionEnd::Invalid(error)),
+                Poll::Ready(Err(error)) => Poll::Ready(ConnectionEnd::Failed(error)),
                 Poll::Pending => response_timer.poll_expired(cx).map(|()| ConnectionEnd::ResponseUnread),
             }) => match end {
                 ConnectionEnd::Finished => {
                     stats.record_close(close_reason);
                     break;
                 }
-                ConnectionEnd::Invalid(error) => {
+                ConnectionEnd::Failed(error) => {
                     if state.progress().client_gone {
                         stats.record_close(CloseReason::ClientGone);
                     } else if error.is_timeout() {
                         close_reason = CloseReason::NoRequest;
                         stats.record_close(close_reason);
                     } else {
-                        close_reason = CloseReason::InvalidRequest;
-                        stats.record_invalid_request(&error);
+                        let is_invalid = error.is_parse();
+                        close_reason =
+                            if is_invalid { CloseReason::InvalidRequest } else { CloseReason::Disconnected };
+                        stats.record_error(close_reason, &error);
                     }
                     break;
                 }
--- a/src/bin/foldtrack/client_stats.rs
+++ b/src/bin/foldtrack/client_stats.rs
@@ -15,8 +15,10 @@
 pub(crate) enum CloseReason {
     /// The client closed it, or it ended after a response that said so.
     Finished,
-    /// What the client sent is not HTTP, exceeds a limit, or broke off.
+    /// What the client sent is not HTTP or exceeds a limit.
     InvalidRequest,
+    /// The client disconnected within a request or a response.
+    Disconnected,
     /// No whole request head arrived in time.
     NoRequest,
     /// It was idle for as long as idle connections are kept.
@@ -36,6 +38,7 @@
         match self {
             CloseReason::Finished => "finished",
             CloseReason::InvalidRequest => "invalid request",
+            CloseReason::Disconnected => "disconnected",
             CloseReason::NoRequest => "no request",
             CloseReason::Idle => "idle",
             CloseReason::Evicted => "evicted",
@@ -82,9 +85,9 @@
         *self.counts().closes.entry(reason).or_default() += 1;
     }
 
-    /// Counts a connection that is closed because of what its client sent.
-    pub fn record_invalid_request(&self, error: &hyper::Error) {
-        self.record_close(CloseReason::InvalidRequest);
+    /// Counts a connection on which the HTTP library has failed.
+    pub fn record_error(&self, reason: CloseReason, error: &hyper::Error) {
+        self.record_close(reason);
         if self.takes_line() {
             log::info!("clients: connection closed: {error}");
         }
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -269,14 +269,21 @@
 
     /// Message id and outcome of each notice received so far, in order.
     pub fn notices(&self) -> Vec<(String, String)> {
+        self.timed_notices().into_iter().map(|(_, id, outcome)| (id, outcome)).collect()
+    }
+
+    /// Time of arrival, message id and outcome of each notice received so far, in order.
+    pub fn timed_notices(&self) -> Vec<(Instant, String, String)> {
         let posts = self.server.requests().into_iter().filter(|request| request.method == "POST");
-        let text = posts.map(|request| String::from_utf8(request.body).unwrap()).collect::<String>();
-        let lines = text.lines().map(|line| serde_json::from_str::<Value>(line).unwrap());
-        lines
-            .map(|notice| {
-                (notice["message"].as_str().unwrap().into(), notice["outcome"].as_str().unwrap().into())
-            })
-            .collect()
+        let mut notices = Vec::new();
+        for post in posts {
+            for line in str::from_utf8(&post.body).unwrap().lines() {
+                let notice: Value = serde_json::from_str(line).unwrap();
+                let text = |name: &str| notice[name].as_str().unwrap().to_string();
+                notices.push((post.received_at, text("message"), text("outcome")));
+            }
+        }
+        notices
     }
 
     pub fn has_notice(&self, id: &str, outcome: &str) -> bool {
