Reproduce a shutdown whose listener stays open for peers that connect again

The soak's log showed 375 client connections at the end of a process beside a crowd, 3.3 s after SIGTERM: what is read on them then is cut off.

--- a/tests/peers/main.rs
+++ b/tests/peers/main.rs
@@ -8,6 +8,7 @@
 mod crowd;
 #[path = "../harness/mod.rs"]
 mod harness;
+mod shutdown;
 mod soak;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
