Close the listener in time at a shutdown beside peers that connect again

What callers saw: beside a crowd that connects again whenever it is closed, a forwarder told to terminate accepted connections until it ended 3.3 s later, and what it had read on them then was cut off with no answer.

Cause: the accept loop drains its queue before it closes the listener, since that would reset what is queued; the queue is never empty while others connect.

Why it works: clients that have been queued for 400 ms have given up, so the drain ends after that. What is reset then has not been read. Connections that were accepted are closed as they get their answers, long before the end.

--- a/src/bin/foldtrack/accept_loop.rs
+++ b/src/bin/foldtrack/accept_loop.rs
@@ -27,6 +27,10 @@
 /// while a client sends requests and reads nothing.
 const SEND_BUFFER_BYTES: usize = 16 * 1024;
 
+/// How long queued connections are accepted once the listener is to be closed. Clients that have waited for longer have
+/// given up, and others may connect for as long as it is open.
+const MAX_DRAIN_TIME: Duration = CLIENT_RESPONSE_TIMEOUT;
+
 /// How long an accepted connection waits for another one to close before it is refused.
 const MAX_CONNECTION_WAIT: Duration = MAX_READ_DELAY;
 
@@ -37,14 +41,16 @@
     ((turns * ACCEPTS_PER_TURN as f64) as u32).clamp(1, MAX_ACCEPT_BACKLOG)
 }
 
-/// Accepts and serves connections until a successor accepts them, or until this process closes its listener
-/// and all queued connections have been accepted.
+/// Accepts and serves connections until a successor accepts them, or until this process closes its listener and the queued
+/// connections have been accepted, as far as they are within [`MAX_DRAIN_TIME`].
 pub(crate) async fn serve(listener: TcpListener, context: Arc<ServerContext>, connections: ConnectionLimit) {
     let mut stage = context.stage.clone();
     let mut waiter = AdmissionWaiter::new(&AdmissionLimiter::new(ACCEPTS_PER_TURN));
     let mut backlog = MAX_ACCEPT_BACKLOG;
-    let (mut queue_empty_at, mut closing, mut queue_drained) = (Instant::now(), false, false);
-    loop {
+    let (mut queue_empty_at, mut queue_drained) = (Instant::now(), false);
+    let mut closing_since: Option<Instant> = None;
+    while closing_since.is_none_or(|since| since.elapsed() < MAX_DRAIN_TIME) {
+        let closing = closing_since.is_some();
         let wanted_backlog = accept_backlog(context.overload.mean_turn_time());
         if backlog / 2 >= wanted_backlog
             || wanted_backlog >= 2 * backlog
@@ -82,7 +88,7 @@
                     }
                     return;
                 }
-                closing = true;
+                closing_since = Some(Instant::now());
                 continue;
             }
         };
