Count the deadlines of requests that came together from before their wait

What callers saw: beside a crowd, an accepted message of several that a client sent at once was reported 326 to 369 ms past its time; 300 ms are allowed. Its client counts from when it sent the message.

Cause: the wait in the accept queue, which takes up to 400 ms of the client's time, counted for the first request on a connection only, and not for those that were sent with it. So it was before the requests of a connection were passed on one by one.

Why it works: what is read ahead has waited since the current request may have been sent.

--- a/src/bin/foldtrack/client_server_tests.rs
+++ b/src/bin/foldtrack/client_server_tests.rs
@@ -166,6 +166,27 @@
     }
 }
 
+/// Guards against the same for requests that were sent together with one that waited.
+#[tokio::test(start_paused = true)]
+async fn deadlines_of_requests_that_came_together_count_from_before_their_wait() {
+    let (mut client, server_side) = duplex(1024);
+    let (_stage, stage_receiver) = watch::channel(LifecycleStage::Serving);
+    let (events, mut receiver) = events::channel();
+    let context = context(stage_receiver, events);
+    let permit = ConnectionLimit::new(1).acquire_within(CLOSE_DEADLINE).await.expect("a permit");
+    let now = context.clock.now();
+    tokio::spawn(serve_client(server_side, context, permit, Duration::from_millis(300)));
+    client.write_all(&REQUEST.repeat(3)).await.unwrap();
+    for number in 0..3 {
+        let Some(NodeEvent::Submit { message, reply, .. }) = receiver.recv().await else {
+            panic!("no message was submitted")
+        };
+        assert_eq!(message.expires_at, now - 300_000 + 9_000_000, "request {number}");
+        sleep(Duration::from_millis(20)).await;
+        drop(reply);
+    }
+}
+
 /// Guards against silent peers that occupy all connections and keep clients waiting to be accepted.
 #[tokio::test(start_paused = true)]
 async fn silent_peers_are_evicted_but_active_clients_are_not() {
--- a/src/bin/foldtrack/client_stream.rs
+++ b/src/bin/foldtrack/client_stream.rs
@@ -134,7 +134,8 @@
 /// Bytes that one read has brought beyond the end of a request.
 struct ReadAhead {
     bytes: Bytes,
-    arrived_at: Instant,
+    /// Since when they may have waited.
+    waiting_since: Instant,
 }
 
 /// The client's stream as the HTTP library sees it.
@@ -176,7 +177,7 @@
         self.state.progress().read_pending = true;
         let waited = ready!(self.waiter.poll_admitted(cx));
         let queue_time = match &self.read_ahead {
-            Some(read_ahead) => read_ahead.arrived_at.elapsed(),
+            Some(read_ahead) => read_ahead.waiting_since.elapsed(),
             None => waited + std::mem::take(&mut self.queue_time),
         };
         let mut progress = self.state.progress();
@@ -192,11 +193,11 @@
 
     /// Passes on what has been read ahead, up to the end of the request.
     fn pass_read_ahead(&mut self, read_ahead: ReadAhead, buf: &mut ReadBuf) {
-        let ReadAhead { mut bytes, arrived_at } = read_ahead;
+        let ReadAhead { mut bytes, waiting_since } = read_ahead;
         let available = bytes.len().min(buf.remaining());
         let passed = self.framing.find_end(&bytes[..available]).unwrap_or(available);
         buf.put_slice(&bytes.split_to(passed));
-        self.read_ahead = (!bytes.is_empty()).then_some(ReadAhead { bytes, arrived_at });
+        self.read_ahead = (!bytes.is_empty()).then_some(ReadAhead { bytes, waiting_since });
     }
 
     /// Reads from the client, and keeps back what is beyond the end of the request.
@@ -215,8 +216,10 @@
         buf.put_slice(passed);
         let further_requests = count_begun(further);
         if !further.is_empty() {
-            let bytes = Bytes::copy_from_slice(further);
-            self.read_ahead = Some(ReadAhead { bytes, arrived_at: Instant::now() });
+            // They may have been sent, and may have waited, together with the current request.
+            let now = Instant::now();
+            let waiting_since = now.checked_sub(self.state.progress().queue_time).unwrap_or(now);
+            self.read_ahead = Some(ReadAhead { bytes: Bytes::copy_from_slice(further), waiting_since });
             self.stats.record_pipelined(further_requests);
         }
         self.state.progress().unanswered += u64::from(begins) + further_requests;
