Submit large messages from twelve clients beside peers of all kinds

By the log there was room for connections and messages; the debug build took 20 ms a turn, so that the accept queue was short and full, and a connection that finds it full is made a second later.

The test is about memory beside a log full of large messages, which one client does not fill. Twelve clients submit now, under the same bounds, and the crowd stays until they are done.

requests_sent_ahead_stay_within_the_memory_limit is new: 500 peers that send requests ahead of a long half head.

--- a/src/bin/foldtrack/client_stream.rs
+++ b/src/bin/foldtrack/client_stream.rs
@@ -19,7 +19,7 @@
 use tokio::time::Instant;
 
 /// Bytes read at a time, and so the most that is read ahead.
-const MAX_READ_BYTES: usize = 4096;
+const MAX_READ_BYTES: usize = 16 * 1024;
 
 /// What a client's socket offers beyond reading and writing.
 pub(crate) trait ClientStream: AsyncRead + AsyncWrite + Unpin {
--- a/tests/peers/client_memory.rs
+++ b/tests/peers/client_memory.rs
@@ -8,7 +8,7 @@
 use std::io::Write;
 use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
@@ -18,6 +18,8 @@
 const PEERS: usize = 500;
 /// Longer than any peer may keep its connection.
 const CROWD_TIME: Duration = Duration::from_secs(4);
+/// Clients that submit large messages beside a crowd.
+const LARGE_MESSAGE_CLIENTS: usize = 12;
 
 fn start_with_little_memory() -> (Arc<HttpServer>, DiscoveryServer, Forwarder) {
     let target = HttpServer::start(|_| OK);
@@ -86,6 +88,14 @@
     assert_crowd_is_harmless(Script { start, piece: b"x".into(), pieces: 60_000 });
 }
 
+/// What is read ahead of the current request, beside a head as long as one may be.
+#[test]
+fn requests_sent_ahead_stay_within_the_memory_limit() {
+    let requests = b"GET /healthz HTTP/1.1\r\nHost: f\r\n\r\n".repeat(2_000);
+    let half_head = [b"POST /fee HTTP/1.1\r\nX-Long: ".to_vec(), vec![b'x'; 15_000]].concat();
+    assert_crowd_is_harmless(Script { start: [requests, half_head].concat(), piece: Vec::new(), pieces: 0 });
+}
+
 #[test]
 fn admin_requests_in_small_pieces_stay_within_the_memory_limit() {
     /// The admin server's limit on connections.
@@ -173,16 +183,25 @@
             Crowd::start(forwarder.listen_address, count, Script { start, piece: b"x".into(), pieces })
         })
         .collect();
-    let end = Instant::now() + CROWD_TIME;
-    let mut statuses = BTreeMap::new();
-    for n in 0.. {
-        let status = forwarder.submit(&fee_message(&format!("large-{n}")).with_body(large.clone()));
-        *statuses.entry(status).or_insert(0) += 1;
-        if Instant::now() >= end {
-            break;
+    let (end, address) = (Instant::now() + CROWD_TIME, forwarder.listen_address);
+    let statuses = Mutex::new(BTreeMap::new());
+    // A connection that finds the accept queue full is made a second later, so that one client alone submits little.
+    thread::scope(|scope| {
+        for client in 0..LARGE_MESSAGE_CLIENTS {
+            let (large, statuses) = (&large, &statuses);
+            scope.spawn(move || {
+                for n in 0.. {
+                    let message = fee_message(&format!("large-{client}-{n}")).with_body(large.clone());
+                    *statuses.lock().unwrap().entry(submit_at(address, &message)).or_insert(0) += 1;
+                    if Instant::now() >= end {
+                        break;
+                    }
+                }
+            });
         }
-    }
+    });
     drop(crowds);
+    let statuses = statuses.into_inner().unwrap();
     assert!(statuses[&202] > 5 && statuses.keys().all(|status| [202, 503].contains(status)), "{statuses:?}");
     assert_within_memory_limit(&mut forwarder);
 }
