--- /dev/null
+++ b/review/standins-2/src/trials.rs
@@ -0,0 +1,146 @@
+//! The cases.
+
+use crate::net::{serve, Reply};
+use crate::world::{list_json, Discovery, Entry, Forwarder, Record, Settings};
+use crate::Trial;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+/// What was broken; nothing if the rule held.
+type Outcome = Result<Vec<String>, String>;
+
+pub fn play(case: &str, trial: &Trial) -> Outcome {
+    match case {
+        "spoilt" => spoilt(trial),
+        "notices" => notices(trial),
+        _ => Err(format!("no case {case}")),
+    }
+}
+
+/// Calls of an endpoint: time and id of each.
+type Calls = Arc<Mutex<Vec<(f64, String)>>>;
+
+/// An endpoint. `answer` gets the number of the call with this id, from 1.
+fn endpoint(
+    record: &Arc<Record>, name: &'static str, answer: impl Fn(&str, usize) -> Reply + Send + Sync + 'static,
+) -> (SocketAddr, Calls) {
+    let calls = Calls::default();
+    let (record, shared) = (record.clone(), calls.clone());
+    let address = serve(move |request| {
+        if request.method != "POST" || request.path != "/v1/messages" {
+            return Reply::Answer(404, String::new(), String::new());
+        }
+        let id = request.header("x-request-id");
+        let number = {
+            let mut calls = shared.lock().unwrap();
+            let at =
+                record.line(format!("endpoint {name}: gets {id}, key {}", request.header("idempotency-key")));
+            calls.push((at, id.clone()));
+            calls.iter().filter(|(_, other)| *other == id).count()
+        };
+        sleep(Duration::from_millis(20));
+        answer(&id, number)
+    });
+    (address, calls)
+}
+
+fn ok() -> Reply {
+    Reply::Answer(200, String::new(), String::new())
+}
+
+/// Answers of an endpoint are cut off in their body, of calls that have run.
+fn spoilt(trial: &Trial) -> Outcome {
+    let (record, trouble) = (&trial.record, trial.trouble);
+    let runs: Arc<Mutex<BTreeMap<String, u32>>> = Arc::default();
+    let (shared, recorder) = (runs.clone(), record.clone());
+    let (address, _) = endpoint(record, "s-1", move |id, number| {
+        *shared.lock().unwrap().entry(id.to_string()).or_default() += 1;
+        if trouble && number == 1 && id.ends_with('5') {
+            recorder.line(format!("endpoint s-1: has run {id}, its answer is cut off"));
+            return Reply::ThenClose(
+                b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 40\r\n\r\n{\"err".to_vec(),
+            );
+        }
+        recorder.line(format!("endpoint s-1: has run {id}, 200"));
+        ok()
+    });
+    let list = vec![Entry { id: "s-1", addr: address, cell: 1, state: "active" }];
+    let known = list_json(1, true, &list);
+    let discovery = Discovery::start(record, "discovery", 1, list);
+    let settings = Settings { effect: "once", slots: 8 };
+    let forwarder = Forwarder::new(record, &trial.root, &trial.folder, &settings, discovery.address, known);
+    let process = forwarder.start(forwarder.admin)?;
+    for number in 1..=30 {
+        let id = format!("9b1f03aa5c7e{number:04}");
+        forwarder.submit(&id, &format!("5c0f6e1a2b3d{number:04}"), 1, Duration::from_secs(4));
+        sleep(Duration::from_millis(200));
+    }
+    sleep(Duration::from_secs(6));
+    drop(process);
+    let runs = runs.lock().unwrap();
+    Ok(runs
+        .iter()
+        .filter(|(_, count)| **count > 1)
+        .map(|(id, count)| format!("{id} ran {count} times"))
+        .collect())
+}
+
+/// Peers hand in messages with very long ids, which end undelivered, beside those of clients.
+fn notices(trial: &Trial) -> Outcome {
+    const MESSAGES: u32 = 400;
+    let (record, trouble) = (&trial.record, trial.trouble);
+    let (address, _) = endpoint(record, "s-1", |id, _| match id.ends_with("50") {
+        true => Reply::Answer(500, String::new(), String::new()),
+        false => ok(),
+    });
+    let list = vec![Entry { id: "s-1", addr: address, cell: 1, state: "active" }];
+    let known = list_json(1, true, &list);
+    let discovery = Discovery::start(record, "discovery", 1, list);
+    let settings = Settings { effect: "once", slots: 8 };
+    let forwarder = Forwarder::new(record, &trial.root, &trial.folder, &settings, discovery.address, known);
+    let process = forwarder.start(forwarder.admin)?;
+    let mut owed = Vec::new();
+    std::thread::scope(|scope| {
+        let forwarder = &forwarder;
+        // Twelve bursts of seven; a peer goes once it has its answer.
+        scope.spawn(move || {
+            sleep(Duration::from_secs(1));
+            for burst in 0..12 {
+                let end = Instant::now() + Duration::from_secs(1);
+                for peer in 0..7 {
+                    scope.spawn(move || {
+                        let key = format!("0b{burst:04}{peer:04}");
+                        let id = if trouble { format!("{key}{}", "f".repeat(13_990)) } else { key.clone() };
+                        forwarder.submit(&id, &key, 9, end.saturating_duration_since(Instant::now()))
+                    });
+                }
+                sleep(Duration::from_millis(200));
+            }
+        });
+        for number in 1..=MESSAGES {
+            let id = format!("9b1f03aa5c7e{number:04}");
+            let due = record.at() + 4.0 + 0.35;
+            if forwarder.submit(&id, &format!("5c0f6e1a2b3d{number:04}"), 1, Duration::from_secs(4))
+                == Some(202)
+                && number % 100 == 50
+            {
+                owed.push((id, due));
+            }
+            sleep(Duration::from_millis(25));
+        }
+    });
+    sleep(Duration::from_secs(6));
+    drop(process);
+    let mut broken = Vec::new();
+    for (id, due) in owed {
+        match discovery.notice_at(&id) {
+            Some((at, _)) if at <= due => {}
+            Some((at, _)) => broken.push(format!("{id}: notice at {at:.3}, due {due:.3}")),
+            None => broken.push(format!("{id}: not delivered, and no notice until {due:.3}")),
+        }
+    }
+    Ok(broken)
+}
