--- a/review/standins-2/src/trials.rs
+++ b/review/standins-2/src/trials.rs
@@ -1,9 +1,9 @@
 //! The cases.
 
-use crate::net::{serve, Reply};
+use crate::net::{exchange, serve, Reply};
 use crate::world::{list_json, Discovery, Entry, Forwarder, Record, Settings};
 use crate::Trial;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
@@ -15,6 +15,7 @@
 pub fn play(case: &str, trial: &Trial) -> Outcome {
     match case {
         "spoilt" => spoilt(trial),
+        "improper" => improper(trial),
         "notices" => notices(trial),
         _ => Err(format!("no case {case}")),
     }
@@ -144,3 +145,78 @@
     }
     Ok(broken)
 }
+
+/// Peers send requests that are not proper ones, beside the messages of clients.
+fn improper(trial: &Trial) -> Outcome {
+    let (record, trouble) = (&trial.record, trial.trouble);
+    let handed_in: Arc<Mutex<BTreeSet<String>>> = Arc::default();
+    let (known_ids, recorder) = (handed_in.clone(), record.clone());
+    let (address, calls) =
+        endpoint(record, "s-1", move |id, _| match known_ids.lock().unwrap().contains(id) {
+            true => ok(),
+            false => {
+                recorder.line(format!("endpoint s-1: no client handed in {id}, 400"));
+                Reply::Answer(400, String::new(), String::new())
+            }
+        });
+    let list = vec![Entry { id: "s-1", addr: address, cell: 1, state: "active" }];
+    let known = list_json(1, true, &list);
+    let discovery = Discovery::start(record, "discovery", 1, list);
+    let settings = Settings { effect: "by_key", slots: 8 };
+    let forwarder = Forwarder::new(record, &trial.root, &trial.folder, &settings, discovery.address, known);
+    let process = forwarder.start(forwarder.admin)?;
+    let proper = [
+        ("Host", "backend.local"),
+        ("X-Request-Id", "0b00000000000000"),
+        ("X-Tenant", "waddenvracht"),
+        ("X-Deadline", "4000m"),
+        ("Idempotency-Key", "5c0f6e1a2b3d4c59"),
+        ("X-Consignee", "dest=1"),
+    ];
+    // A header field that is left out, has another value, or comes once more with another value.
+    let faults = [
+        ("no X-Tenant", "X-Tenant", None, false),
+        ("a tenant that the settings do not name", "X-Tenant", Some("nobody"), false),
+        ("two different X-Consignee", "X-Consignee", Some("dest=2"), true),
+        ("two different X-Request-Id", "X-Request-Id", Some("0b0000000000ffff"), true),
+        ("two different Idempotency-Key", "Idempotency-Key", Some("ffff6e1a2b3d4c59"), true),
+        ("no Host", "Host", None, false),
+    ];
+    let mut by_fault = BTreeMap::new();
+    for (number, (fault, field, value, again)) in faults.into_iter().enumerate() {
+        for client in 0..10 {
+            let id = format!("9b1f03aa5c7e{number}{client:03}");
+            handed_in.lock().unwrap().insert(id.clone());
+            forwarder.submit(&id, &format!("5c0f6e1a2b3d{number}{client:03}"), 1, Duration::from_secs(4));
+            sleep(Duration::from_millis(50));
+        }
+        let id = format!("0b{number:014}");
+        let mut head = "POST /freight-msg HTTP/1.1\r\n".to_string();
+        for (name, usual) in proper {
+            let usual = if name == "X-Request-Id" { id.as_str() } else { usual };
+            let is_faulty = trouble && name == field;
+            if !is_faulty || again {
+                head += &format!("{name}: {usual}\r\n");
+            }
+            if let Some(value) = value.filter(|_| is_faulty) {
+                head += &format!("{name}: {value}\r\n");
+            }
+        }
+        head += "Content-Length: 2\r\n\r\n";
+        if !trouble {
+            handed_in.lock().unwrap().insert(id.clone());
+        }
+        record.line(format!("peer: sends {id}, {}", if trouble { fault } else { "a proper request" }));
+        let status =
+            exchange(forwarder.listen, &head, b"hi", Duration::from_secs(3)).map(|(status, _)| status);
+        record.line(format!("peer: {id} answered {status:?}"));
+        by_fault.insert(id, fault);
+    }
+    sleep(Duration::from_secs(6));
+    drop(process);
+    let handed_in = handed_in.lock().unwrap();
+    let reached: BTreeSet<String> = calls.lock().unwrap().iter().map(|(_, id)| id.clone()).collect();
+    let strange = reached.iter().filter(|id| !handed_in.contains(*id));
+    let fault_of = |id: &String| by_fault.get(id).copied().unwrap_or("the second of two ids");
+    Ok(strange.map(|id| format!("{id} reached an endpoint: {}", fault_of(id))).collect())
+}
