Review case 8: a request that comes again runs again once the history is full

Shows that at 44 messages a second, each on a connection of its own, the request that ended last is the one that is forgotten, so that one sent again under its id runs a second time.

--- a/review/standins-2/src/trials.rs
+++ b/review/standins-2/src/trials.rs
@@ -4,9 +4,10 @@
 use crate::world::{list_json, Discovery, Entry, Forwarder, Record, Settings};
 use crate::Trial;
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
-use std::thread::sleep;
+use std::thread::{scope, sleep, spawn};
 use std::time::{Duration, Instant};
 
 /// What was broken; nothing if the rule held.
@@ -17,6 +18,7 @@
         "spoilt" => spoilt(trial),
         "improper" => improper(trial),
         "notices" => notices(trial),
+        "repeats" => repeats(trial),
         _ => Err(format!("no case {case}")),
     }
 }
@@ -104,7 +106,7 @@
     let forwarder = Forwarder::new(record, &trial.root, &trial.folder, &settings, discovery.address, known);
     let process = forwarder.start(forwarder.admin)?;
     let mut owed = Vec::new();
-    std::thread::scope(|scope| {
+    scope(|scope| {
         let forwarder = &forwarder;
         // Twelve bursts of seven; a peer goes once it has its answer.
         scope.spawn(move || {
@@ -220,3 +222,67 @@
     let fault_of = |id: &String| by_fault.get(id).copied().unwrap_or("the second of two ids");
     Ok(strange.map(|id| format!("{id} reached an endpoint: {}", fault_of(id))).collect())
 }
+
+/// A proxy in front of a forwarder. It passes a request on, and ends both connections in place of the answer.
+fn losing_proxy(record: &Arc<Record>, forwarder: SocketAddr) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("its address");
+    let record = record.clone();
+    spawn(move || {
+        for mut client in listener.incoming().flatten() {
+            let record = record.clone();
+            spawn(move || -> Option<()> {
+                let begun = Instant::now();
+                let mut onward = TcpStream::connect(forwarder).ok()?;
+                let mut copied = (client.try_clone().ok()?, onward.try_clone().ok()?);
+                spawn(move || std::io::copy(&mut copied.0, &mut copied.1));
+                let mut answer = [0; 512];
+                let length = onward.read(&mut answer).ok()?;
+                let answer = String::from_utf8_lossy(&answer[..length]);
+                record.line(format!("proxy: loses the answer {:?}", answer.lines().next()));
+                sleep(Duration::from_millis(250).saturating_sub(begun.elapsed()));
+                let _ = (client.shutdown(Shutdown::Both), onward.shutdown(Shutdown::Both));
+                let _ = client.flush();
+                None
+            });
+        }
+    });
+    address
+}
+
+/// Connections end in place of the answer, and clients send these requests once more.
+fn repeats(trial: &Trial) -> Outcome {
+    const MESSAGES: u32 = 924;
+    let (record, trouble) = (&trial.record, trial.trouble);
+    let (address, calls) = endpoint(record, "s-1", |_, _| ok());
+    let list = vec![Entry { id: "s-1", addr: address, cell: 1, state: "active" }];
+    let known = list_json(1, true, &list);
+    let discovery = Discovery::start(record, "discovery", 1, list);
+    let settings = Settings { effect: "once", slots: 8 };
+    let forwarder = Forwarder::new(record, &trial.root, &trial.folder, &settings, discovery.address, known);
+    let process = forwarder.start(forwarder.admin)?;
+    let proxy = losing_proxy(record, forwarder.listen);
+    scope(|scope| {
+        let (forwarder, begun) = (&forwarder, Instant::now());
+        for number in 0..MESSAGES {
+            scope.spawn(move || {
+                // 200 characters.
+                let id = format!("{number:08}{}", "9b1f03aa5c7e2d41".repeat(12));
+                let (key, deadline) = (format!("5c0f6e1a2b3d{number:04}"), Duration::from_secs(16));
+                // One request of 12, in the first five seconds and in the last four.
+                let is_lost = trouble && number % 12 == 10 && !(220..740).contains(&number);
+                let (to, first) = (if is_lost { proxy } else { forwarder.listen }, Instant::now());
+                if forwarder.submit_at(to, &id, &key, 1, deadline).is_none() && is_lost {
+                    forwarder.submit(&id, &key, 1, deadline - first.elapsed());
+                }
+            });
+            sleep((Duration::from_secs(1) * number / 44).saturating_sub(begun.elapsed()));
+        }
+    });
+    sleep(Duration::from_secs(3));
+    drop(process);
+    let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+    calls.lock().unwrap().iter().for_each(|(_, id)| *counts.entry(id.clone()).or_default() += 1);
+    let twice = counts.iter().filter(|(_, count)| **count > 1);
+    Ok(twice.map(|(id, count)| format!("{}... ran {count} times", &id[..12])).collect())
+}
--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -296,6 +296,13 @@
 
     /// Hands in a message, and returns the status of the answer.
     pub fn submit(&self, id: &str, key: &str, cell: u32, deadline: Duration) -> Option<u16> {
+        self.submit_at(self.listen, id, key, cell, deadline)
+    }
+
+    /// The same, at an address that leads to the forwarder.
+    pub fn submit_at(
+        &self, to: SocketAddr, id: &str, key: &str, cell: u32, deadline: Duration,
+    ) -> Option<u16> {
         let deadline_us = deadline.as_micros();
         let body = format!("message {key}");
         let head = format!(
@@ -309,8 +316,8 @@
             format!("{}... ({} characters)", &id[..24], id.len())
         };
         self.record.line(format!("client: hands in {name} for {cell}, {deadline_us} us"));
-        let status = exchange(self.listen, &head, body.as_bytes(), Duration::from_millis(400))
-            .map(|(status, _)| status);
+        let status =
+            exchange(to, &head, body.as_bytes(), Duration::from_millis(400)).map(|(status, _)| status);
         self.record.line(format!("client: {name} answered {status:?}"));
         status
     }
