--- a/review/standins-2/src/trials.rs
+++ b/review/standins-2/src/trials.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Barrier, Mutex};
 use std::thread::{scope, sleep, spawn};
 use std::time::{Duration, Instant};
 
@@ -108,13 +108,15 @@
     let mut owed = Vec::new();
     scope(|scope| {
         let forwarder = &forwarder;
-        // Twelve bursts of seven; a peer goes once it has its answer.
+        // Ten bursts of nine; a peer goes once it has its answer.
         scope.spawn(move || {
             sleep(Duration::from_secs(1));
-            for burst in 0..12 {
-                let end = Instant::now() + Duration::from_secs(1);
-                for peer in 0..7 {
+            for burst in 0..10 {
+                let (end, together) = (Instant::now() + Duration::from_secs(1), Arc::new(Barrier::new(9)));
+                for peer in 0..9 {
+                    let together = together.clone();
                     scope.spawn(move || {
+                        together.wait();
                         let key = format!("0b{burst:04}{peer:04}");
                         let id = if trouble { format!("{key}{}", "f".repeat(13_990)) } else { key.clone() };
                         forwarder.submit(&id, &key, 9, end.saturating_duration_since(Instant::now()))
