Review case 8: let its clients keep their connections

132 clients hand in a message every three seconds each and rest until the forwarder closes their connection.

--- a/review/standins-2/src/net.rs
+++ b/review/standins-2/src/net.rs
@@ -5,7 +5,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A request that a server has read whole.
 #[derive(Clone, Debug)]
@@ -83,8 +83,14 @@
     None
 }
 
-/// Sends one request on a connection of its own. Returns the status and the body, if an answer came within `wait`.
-pub fn exchange(to: SocketAddr, request: &str, body: &[u8], wait: Duration) -> Option<(u16, String)> {
+/// A whole answer, and the connection on which it came.
+pub struct Answer {
+    pub status: u16,
+    connection: BufReader<TcpStream>,
+}
+
+/// Sends one request on a connection of its own. Returns the answer, if it came within `wait`.
+pub fn exchange(to: SocketAddr, request: &str, body: &[u8], wait: Duration) -> Option<Answer> {
     let mut stream = TcpStream::connect_timeout(&to, wait).ok()?;
     stream.set_nodelay(true).ok()?;
     stream.set_read_timeout(Some(wait)).ok()?;
@@ -104,5 +110,18 @@
     }
     let mut body = vec![0; length];
     reader.read_exact(&mut body).ok()?;
-    Some((status, String::from_utf8_lossy(&body).into_owned()))
+    Some(Answer { status, connection: reader })
+}
+
+impl Answer {
+    /// Keeps the connection until the server closes it, for `limit` at most.
+    pub fn rest(mut self, limit: Duration) {
+        let begun = Instant::now();
+        while let Some(left) = limit.checked_sub(begun.elapsed()).filter(|left| !left.is_zero()) {
+            let _ = self.connection.get_ref().set_read_timeout(Some(left));
+            if matches!(self.connection.read(&mut [0; 64]), Ok(0)) {
+                return;
+            }
+        }
+    }
 }
--- a/review/standins-2/src/trials.rs
+++ b/review/standins-2/src/trials.rs
@@ -212,7 +212,7 @@
         }
         record.line(format!("peer: sends {id}, {}", if trouble { fault } else { "a proper request" }));
         let status =
-            exchange(forwarder.listen, &head, b"hi", Duration::from_secs(3)).map(|(status, _)| status);
+            exchange(forwarder.listen, &head, b"hi", Duration::from_secs(3)).map(|answer| answer.status);
         record.line(format!("peer: {id} answered {status:?}"));
         by_fault.insert(id, fault);
     }
@@ -252,7 +252,8 @@
     address
 }
 
-/// Connections end in place of the answer, and clients send these requests once more.
+/// Connections end in place of the answer, and clients send these requests once more. There are 132 clients, each with a
+/// message every three seconds. They keep their connections until the forwarder closes them.
 fn repeats(trial: &Trial) -> Outcome {
     const MESSAGES: u32 = 924;
     let (record, trouble) = (&trial.record, trial.trouble);
@@ -274,9 +275,12 @@
                 // One request of 12, in the first five seconds and in the last four.
                 let is_lost = trouble && number % 12 == 10 && !(220..740).contains(&number);
                 let (to, first) = (if is_lost { proxy } else { forwarder.listen }, Instant::now());
-                if forwarder.submit_at(to, &id, &key, 1, deadline).is_none() && is_lost {
-                    forwarder.submit(&id, &key, 1, deadline - first.elapsed());
+                let mut answer = forwarder.submit_at(to, &id, &key, 1, deadline);
+                if answer.is_none() && is_lost {
+                    answer = forwarder.submit_at(forwarder.listen, &id, &key, 1, deadline - first.elapsed());
                 }
+                // The forwarder closes a connection that has rested for 2.2 s.
+                answer.into_iter().for_each(|answer| answer.rest(Duration::from_secs(3)));
             });
             sleep((Duration::from_secs(1) * number / 44).saturating_sub(begun.elapsed()));
         }
--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -1,7 +1,7 @@
 //! The stand-ins around forwarders: discovery, endpoints, clients, the platform that starts and signals processes, and the
 //! record of a trial.
 
-use crate::net::{exchange, serve, Reply};
+use crate::net::{exchange, serve, Answer, Reply};
 use std::fs::{self, File};
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
@@ -256,7 +256,7 @@
         loop {
             let asked =
                 exchange(admin, "GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n", b"", Duration::from_secs(1));
-            if asked.is_some_and(|(status, _)| status == 200) {
+            if asked.is_some_and(|answer| answer.status == 200) {
                 self.record.line(format!("forwarder: process {} is ready", process.child.id()));
                 return Ok(process);
             }
@@ -296,13 +296,13 @@
 
     /// Hands in a message, and returns the status of the answer.
     pub fn submit(&self, id: &str, key: &str, cell: u32, deadline: Duration) -> Option<u16> {
-        self.submit_at(self.listen, id, key, cell, deadline)
+        self.submit_at(self.listen, id, key, cell, deadline).map(|answer| answer.status)
     }
 
-    /// The same, at an address that leads to the forwarder.
+    /// Hands in a message at an address that leads to the forwarder.
     pub fn submit_at(
         &self, to: SocketAddr, id: &str, key: &str, cell: u32, deadline: Duration,
-    ) -> Option<u16> {
+    ) -> Option<Answer> {
         let deadline_us = deadline.as_micros();
         let body = format!("message {key}");
         let head = format!(
@@ -316,9 +316,9 @@
             format!("{}... ({} characters)", &id[..24], id.len())
         };
         self.record.line(format!("client: hands in {name} for {cell}, {deadline_us} us"));
-        let status =
-            exchange(to, &head, body.as_bytes(), Duration::from_millis(400)).map(|(status, _)| status);
+        let answer = exchange(to, &head, body.as_bytes(), Duration::from_millis(400));
+        let status = answer.as_ref().map(|answer| answer.status);
         self.record.line(format!("client: {name} answered {status:?}"));
-        status
+        answer
     }
 }
