Review case 6: bytes of a body become records of the log after a kill

Shows that a start which finds half a record replays what a client put into its body, so that an endpoint gets a message that nobody sent.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,4 @@
 for program in target/release/foldtrack review/standins-2/target/release/trial-2; do
     [ -x "$program" ] || { echo "could not run: $program is not built"; exit 2; }
 done
-exec review/standins-2/target/release/trial-2 spoilt review/7
+exec review/standins-2/target/release/trial-2 notices review/7
--- a/review/standins-2/src/trials.rs
+++ b/review/standins-2/src/trials.rs
@@ -6,9 +6,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Barrier, Mutex};
 use std::thread::{scope, sleep, spawn};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// What was broken; nothing if the rule held.
 type Outcome = Result<Vec<String>, String>;
@@ -16,6 +17,7 @@
 pub fn play(case: &str, trial: &Trial) -> Outcome {
     match case {
         "spoilt" => spoilt(trial),
+        "forged" => forged(trial),
         "improper" => improper(trial),
         "notices" => notices(trial),
         "repeats" => repeats(trial),
@@ -70,7 +72,7 @@
         recorder.line(format!("endpoint s-1: has run {id}, 200"));
         ok()
     });
-    let list = vec![Entry { id: "s-1", addr: address, cell: 1, state: "active" }];
+    let list = vec![Entry { id: "s-1", addr: address, cell: 1, state: "active", weight: 200 }];
     let known = list_json(1, true, &list);
     let discovery = Discovery::start(record, "discovery", 1, list);
     let settings = Settings { effect: "once", slots: 8 };
@@ -99,7 +101,7 @@
         true => Reply::Answer(500, String::new(), String::new()),
         false => ok(),
     });
-    let list = vec![Entry { id: "s-1", addr: address, cell: 1, state: "active" }];
+    let list = vec![Entry { id: "s-1", addr: address, cell: 1, state: "active", weight: 200 }];
     let known = list_json(1, true, &list);
     let discovery = Discovery::start(record, "discovery", 1, list);
     let settings = Settings { effect: "once", slots: 8 };
@@ -163,7 +165,7 @@
                 Reply::Answer(400, String::new(), String::new())
             }
         });
-    let list = vec![Entry { id: "s-1", addr: address, cell: 1, state: "active" }];
+    let list = vec![Entry { id: "s-1", addr: address, cell: 1, state: "active", weight: 200 }];
     let known = list_json(1, true, &list);
     let discovery = Discovery::start(record, "discovery", 1, list);
     let settings = Settings { effect: "by_key", slots: 8 };
@@ -258,7 +260,7 @@
     const MESSAGES: u32 = 924;
     let (record, trouble) = (&trial.record, trial.trouble);
     let (address, calls) = endpoint(record, "s-1", |_, _| ok());
-    let list = vec![Entry { id: "s-1", addr: address, cell: 1, state: "active" }];
+    let list = vec![Entry { id: "s-1", addr: address, cell: 1, state: "active", weight: 200 }];
     let known = list_json(1, true, &list);
     let discovery = Discovery::start(record, "discovery", 1, list);
     let settings = Settings { effect: "once", slots: 8 };
@@ -292,3 +294,120 @@
     let twice = counts.iter().filter(|(_, count)| **count > 1);
     Ok(twice.map(|(id, count)| format!("{}... ran {count} times", &id[..12])).collect())
 }
+
+/// The CRC-32 of some bytes.
+fn crc32(bytes: &[u8]) -> u32 {
+    !bytes.iter().fold(!0u32, |crc, byte| {
+        (0..8).fold(crc ^ u32::from(*byte), |crc, _| (crc >> 1) ^ (0xedb8_8320 & (crc & 1).wrapping_neg()))
+    })
+}
+
+/// Bytes in the form of a record of the forwarder's log: that it has taken on a message with this id.
+fn log_record(id: &str) -> Vec<u8> {
+    let number = |mut value: u64| {
+        let mut bytes = Vec::new();
+        while value > 127 {
+            bytes.push((value & 127) as u8 | 128);
+            value >>= 7;
+        }
+        bytes.push(value as u8);
+        bytes
+    };
+    let text = |text: &str| [number(text.len() as u64), text.as_bytes().to_vec()].concat();
+    let expires = SystemTime::now() + Duration::from_secs(600);
+    let expires = expires.duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
+    let content = [
+        number(1 << 40),
+        number(0),
+        text(id),
+        text("freight-msg"),
+        number(1),
+        text(""),
+        [number(1), text("5c0f6e1a2b3d4c59")].concat(),
+        number(0),
+        number(expires),
+        text("made up"),
+    ]
+    .concat();
+    let mut record = vec![0xf7, 0x1d];
+    record.extend((content.len() as u32).to_le_bytes());
+    record.extend(crc32(&content).to_le_bytes());
+    record.extend(content);
+    record
+}
+
+/// Bodies hold bytes that look like records of the forwarder's log, and forwarders are killed while they write them.
+fn forged(trial: &Trial) -> Outcome {
+    const MADE_UP: &str = "0b0000000000feed";
+    let (record, trouble) = (&trial.record, trial.trouble);
+    let reached = Arc::new(AtomicU64::new(0));
+    let (shared, recorder) = (reached.clone(), record.clone());
+    let address = serve(move |request| {
+        if request.header("x-request-id") == MADE_UP {
+            let body = String::from_utf8_lossy(&request.body).into_owned();
+            recorder.line(format!("endpoint s-1: gets {MADE_UP}, which nobody sent, with the body {body:?}"));
+            shared.fetch_add(1, Ordering::SeqCst);
+        }
+        ok()
+    });
+    let list = vec![Entry { id: "s-1", addr: address, cell: 1, state: "active", weight: 5_000 }];
+    let known = list_json(1, true, &list);
+    let discovery = Discovery::start(record, "discovery", 1, list);
+    let settings = Settings { effect: "by_key", slots: 64 };
+    let mut forwarders = Vec::new();
+    let mut processes = Vec::new();
+    for name in ["n1", "n2", "n3"] {
+        let folder = trial.folder.join(name);
+        let forwarder =
+            Forwarder::new(record, &trial.root, &folder, &settings, discovery.address, known.clone());
+        processes.push(forwarder.start(forwarder.admin)?);
+        forwarders.push(forwarder);
+    }
+    let made_up = log_record(MADE_UP);
+    let body = made_up.repeat(64 * 1024 / made_up.len());
+    let (done, next, taken_on) = (AtomicBool::new(false), AtomicU64::new(0), AtomicU64::new(0));
+    let mut kills = 0;
+    let played = scope(|scope| {
+        for forwarder in forwarders.iter().flat_map(|forwarder| [forwarder; 5]) {
+            let (done, next, taken_on, body) = (&done, &next, &taken_on, &body);
+            scope.spawn(move || {
+                while !done.load(Ordering::SeqCst) {
+                    let id = format!("9b1f{:012}", next.fetch_add(1, Ordering::SeqCst));
+                    match forwarder.submit_body(&id, body) {
+                        Some(answer) if answer.status == 202 => drop(taken_on.fetch_add(1, Ordering::SeqCst)),
+                        _ => sleep(Duration::from_millis(5)),
+                    }
+                }
+            });
+        }
+        let begun = Instant::now();
+        let play = || {
+            while begun.elapsed() < Duration::from_secs(90) && reached.load(Ordering::SeqCst) == 0 {
+                sleep(Duration::from_millis(150));
+                if trouble {
+                    kills += 1;
+                    record.line(format!("platform: kills all three, for the {kills}th time"));
+                    processes.clear();
+                    sleep(Duration::from_millis(600));
+                    for forwarder in &forwarders {
+                        processes.push(forwarder.start(forwarder.admin)?);
+                    }
+                    // What the log holds is sent by then.
+                    sleep(Duration::from_millis(50));
+                }
+            }
+            Ok::<_, String>(())
+        };
+        let played = { play }();
+        done.store(true, Ordering::SeqCst);
+        played
+    });
+    processes.clear();
+    let (handed_in, taken_on) = (next.load(Ordering::SeqCst), taken_on.load(Ordering::SeqCst));
+    record.line(format!("clients: {handed_in} handed in, {taken_on} taken on; {kills} times killed"));
+    played?;
+    let count = reached.load(Ordering::SeqCst);
+    let broken =
+        format!("{MADE_UP} reached an endpoint {count} times after {kills} kills, and nobody sent it");
+    Ok((count > 0).then_some(broken).into_iter().collect())
+}
--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -44,14 +44,16 @@
     pub addr: SocketAddr,
     pub cell: u32,
     pub state: &'static str,
+    /// Calls a second that the partner takes.
+    pub weight: u32,
 }
 
 impl Entry {
     fn json(&self) -> String {
-        let Entry { id, addr, cell, state } = self;
+        let Entry { id, addr, cell, state, weight } = self;
         format!(
             "{{\"id\":\"{id}\",\"addr\":\"{addr}\",\"zone\":\"hal-noord\",\"kind\":\"small-partners\",\
-             \"cell\":{cell},\"state\":\"{state}\",\"weight\":200.0,\"started_ms\":0}}"
+             \"cell\":{cell},\"state\":\"{state}\",\"weight\":{weight}.0,\"started_ms\":0}}"
         )
     }
 }
@@ -294,6 +296,16 @@
         Ok(Process { child })
     }
 
+    /// Hands in a message with this body for destination 1, without a line in the record.
+    pub fn submit_body(&self, id: &str, body: &[u8]) -> Option<Answer> {
+        let head = format!(
+            "POST /freight-msg HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: {id}\r\nX-Tenant: waddenvracht\r\n\
+             X-Deadline: 4000m\r\nIdempotency-Key: {id}\r\nContent-Length: {}\r\nX-Consignee: dest=1\r\n\r\n",
+            body.len()
+        );
+        exchange(self.listen, &head, body, Duration::from_millis(400))
+    }
+
     /// Hands in a message, and returns the status of the answer.
     pub fn submit(&self, id: &str, key: &str, cell: u32, deadline: Duration) -> Option<u16> {
         self.submit_at(self.listen, id, key, cell, deadline).map(|answer| answer.status)
