--- a/review/standins-2/src/trials.rs
+++ b/review/standins-2/src/trials.rs
@@ -386,7 +386,7 @@
                 sleep(Duration::from_millis(150));
                 if trouble {
                     kills += 1;
-                    record.line(format!("platform: kills all three, for the {kills}th time"));
+                    record.line(format!("platform: kill {kills} of all three"));
                     processes.clear();
                     sleep(Duration::from_millis(600));
                     for forwarder in &forwarders {
