Write-ahead log: find no records in the bodies of damaged ones

What callers saw: a message that nobody had submitted reached an endpoint.

Cause: a kill cuts a write short, which leaves the start of a frame at the end of the log. The next start searched the rest of the file for a frame, byte by byte, within the body of the damaged one too. Magic number, length and CRC tell that a frame is whole, not who wrote it.

Fix: each frame ends with the sync marker of its log, eight random bytes in a file of their own. Behind damage only a frame with the marker counts, or the place where the damaged frame was to end. Clients cannot know the marker. Before the next record a compaction removes what is damaged, also where a record written in part could not be removed.

Format: versions without markers read the new frames, since they ignore what follows a record, and theirs are read in their places.

The two records of an attempt count as 80 bytes in place of 64 for the space that is kept free.

--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -33,8 +33,8 @@
 use crate::report_client::ReportClient;
 use crate::unread_responses::UnreadResponses;
 use crate::write_ahead_log::{
-    ExecutionStatus, LogRecord, NonDeliveryNotice, RecordedEnd, RestoredLog, RestoredMessage, WriteAheadLog,
-    ENDED_REQUESTS_DIVISOR,
+    self, ExecutionStatus, LogRecord, NonDeliveryNotice, RecordedEnd, RestoredLog, RestoredMessage,
+    WriteAheadLog, ENDED_REQUESTS_DIVISOR,
 };
 use hatchline::discovery::list::{ServerList, ServerState};
 use hatchline::settings::DeploymentSettings;
@@ -303,7 +303,9 @@
         let settings = &config.settings.settings;
         let memory = MemoryPlan::new(config.memory_bytes);
         let max_log_bytes = config.disk_bytes.saturating_sub(
-            disabled_endpoints::RESERVED_BYTES + endpoint_list_cache::reserved_bytes(&config.known_endpoints),
+            disabled_endpoints::RESERVED_BYTES
+                + endpoint_list_cache::reserved_bytes(&config.known_endpoints)
+                + write_ahead_log::MARKER_FILE_BYTES,
         );
         let max_log_bytes = max_log_bytes.min(memory.write_ahead_log_bytes);
         let (write_ahead_log, restored) =
--- a/src/bin/foldtrack/write_ahead_log.rs
+++ b/src/bin/foldtrack/write_ahead_log.rs
@@ -1,8 +1,9 @@
 //! Write-ahead log of accepted messages and of what has happened to them since. It survives the process.
 //!
-//! Each record is a frame of magic number, length, CRC and content, appended with one `write`. The frames of messages
-//! that are not completed are kept in memory too: a compaction writes them to a new file.
+//! Each record is a [frame], appended with one `write`. The frames of messages that are not completed are kept in memory
+//! too: a compaction writes them to a new file.
 
+use frame::{decode, encode, find_next, Frame, SyncMarker};
 use hatchline::RequestEnd;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -10,10 +11,10 @@
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 
-const MAGIC: [u8; 2] = [0xf7, 0x1d];
-const HEADER_BYTES: usize = 10;
-/// Longest content of a frame: a body of 64 KiB and its headers.
-const MAX_CONTENT_BYTES: usize = 256 * 1024;
+mod frame;
+
+/// Disk space of the file with the sync marker, and of the one that replaces it, each in whole blocks of 512 bytes.
+pub(crate) const MARKER_FILE_BYTES: u64 = 2 * 512;
 /// Minimum space for new records between two compactions; it also covers the rounding of file sizes to whole blocks.
 const SLACK_BYTES: u64 = 16 * 1024;
 /// A file that exceeds twice the size of its live frames by more than this is compacted, even if there is space left.
@@ -21,7 +22,7 @@
 /// Share of the capacity that is for ended requests, as its divisor.
 pub(crate) const ENDED_REQUESTS_DIVISOR: u64 = 16;
 /// Upper bounds on the size of the two records of an attempt together, and of the record of a notice.
-const ATTEMPT_BYTES: u64 = 64;
+const ATTEMPT_BYTES: u64 = 80;
 const NOTICE_BYTES: u64 = 64;
 
 /// Whether the endpoint may have processed an attempt, as far as its outcome tells.
@@ -120,7 +121,10 @@
 pub(crate) struct WriteAheadLog {
     path: PathBuf,
     file: File,
+    marker: SyncMarker,
     length: u64,
+    /// The file holds bytes that are no frame. They are removed by a compaction before the next record is appended.
+    damaged: bool,
     /// The frames of each message that is not completed, by its number in the order of arrival.
     live_frames: BTreeMap<u64, Vec<u8>>,
     /// The frame of each ended request that is remembered, by the number of its message.
@@ -142,12 +146,15 @@
         // Left over from a compaction that the end of the process interrupted.
         let _ = fs::remove_file(path.with_extension("new"));
         let file = OpenOptions::new().read(true).append(true).create(true).open(&path)?;
+        let marker = SyncMarker::load_or_create(&path.with_extension("marker"))?;
         let bytes = fs::read(&path)?;
         let reserve_per_message = ATTEMPT_BYTES * u64::from(max_attempts) + NOTICE_BYTES;
         let mut log = WriteAheadLog {
             path,
             file,
+            marker,
             length: 0,
+            damaged: false,
             live_frames: BTreeMap::new(),
             ended_frames: BTreeMap::new(),
             live_bytes: 0,
@@ -157,15 +164,16 @@
         let mut restored = RestoredLog::default();
         let mut at = 0;
         while at < bytes.len() {
-            if let Some((frame, number, record)) = decode(&bytes[at..]) {
+            if let Some(Frame { bytes: frame, number, record }) = decode(&bytes[at..]) {
                 replay(&mut restored, number, &record);
                 log.track_live(number, &record, frame);
                 at += frame.len();
                 continue;
             }
-            match (at + 1..bytes.len()).find(|next| decode(&bytes[*next..]).is_some()) {
+            match find_next(&bytes, at, marker) {
                 Some(next) => {
                     log::warn!("journal: {} damaged bytes at {at} skipped", next - at);
+                    log.damaged = true;
                     at = next;
                 }
                 None => {
@@ -210,7 +218,7 @@
 
     /// Appends a record of the message with this number. Compacts the file first if that is due.
     pub fn append(&mut self, number: u64, record: &LogRecord) -> io::Result<()> {
-        let frame = encode(number, record)?;
+        let frame = encode(number, record, self.marker)?;
         self.append_frames(&frame)?;
         self.track_live(number, record, &frame);
         Ok(())
@@ -219,7 +227,7 @@
     /// Appends the completion of a message, and how its request has ended.
     pub fn append_completion(&mut self, number: u64, ended: RecordedEnd) -> io::Result<()> {
         let records = [LogRecord::Completed, LogRecord::Ended(ended)];
-        let frames = [encode(number, &records[0])?, encode(number, &records[1])?];
+        let frames = [encode(number, &records[0], self.marker)?, encode(number, &records[1], self.marker)?];
         self.append_frames(&frames.concat())?;
         for (record, frame) in records.iter().zip(&frames) {
             self.track_live(number, record, frame);
@@ -238,12 +246,12 @@
         let length = self.length + frame.len() as u64;
         let exceeds_capacity =
             length + self.live_bytes + frame.len() as u64 + SLACK_BYTES / 2 > self.capacity;
-        if exceeds_capacity || length > 2 * self.live_bytes + MAX_STALE_BYTES {
+        if self.damaged || exceeds_capacity || length > 2 * self.live_bytes + MAX_STALE_BYTES {
             self.compact()?;
         }
         if let Err(error) = self.file.write_all(frame) {
             // Removes a partly written frame, so that the next record follows a complete one.
-            let _ = self.file.set_len(self.length);
+            self.damaged = self.file.set_len(self.length).is_err();
             return Err(error);
         }
         self.length += frame.len() as u64;
@@ -278,6 +286,7 @@
         match written.and_then(|file| fs::rename(&new, &self.path).map(|()| file)) {
             Ok(file) => {
                 (self.file, self.length) = (file, bytes.len() as u64);
+                self.damaged = false;
                 Ok(())
             }
             Err(error) => {
@@ -320,30 +329,6 @@
     }
 }
 
-fn encode(number: u64, record: &LogRecord) -> io::Result<Vec<u8>> {
-    let content = postcard::to_stdvec(&(number, record)).map_err(io::Error::other)?;
-    if content.len() > MAX_CONTENT_BYTES {
-        return Err(io::Error::other("log record is too long"));
-    }
-    let mut frame = Vec::with_capacity(HEADER_BYTES + content.len());
-    frame.extend_from_slice(&MAGIC);
-    frame.extend_from_slice(&(content.len() as u32).to_le_bytes());
-    frame.extend_from_slice(&crc32fast::hash(&content).to_le_bytes());
-    frame.extend_from_slice(&content);
-    Ok(frame)
-}
-
-/// Decodes the frame at the start of `bytes`, if it is complete and undamaged.
-fn decode(bytes: &[u8]) -> Option<(&[u8], u64, LogRecord)> {
-    let head = bytes.get(..HEADER_BYTES).filter(|h| h.starts_with(&MAGIC))?;
-    let length = u32::from_le_bytes(head[2..6].try_into().ok()?) as usize;
-    let crc = u32::from_le_bytes(head[6..10].try_into().ok()?);
-    let frame = bytes.get(..HEADER_BYTES + length).filter(|_| length <= MAX_CONTENT_BYTES)?;
-    let content = &frame[HEADER_BYTES..];
-    let (number, record) = postcard::from_bytes(content).ok().filter(|_| crc32fast::hash(content) == crc)?;
-    Some((frame, number, record))
-}
-
 #[cfg(test)]
 #[path = "write_ahead_log_tests.rs"]
 mod tests;
--- a/tests/forwarder/write_ahead_log.rs
+++ b/tests/forwarder/write_ahead_log.rs
@@ -81,3 +81,27 @@
     });
     assert_within_limit(&forwarder);
 }
+
+/// Guards against a kill in the middle of a write to the log: the next start found records in the rest of the body, and
+/// sent a message that nobody had submitted.
+#[test]
+fn the_body_of_a_message_whose_record_is_cut_short_brings_up_no_message() {
+    let (_silent, _discovery, other) = start_with_one_target(|_| Response::Silent);
+    assert_eq!(other.submit(&fee_message("forged")), 202);
+    let record = fs::read(other.write_ahead_log_path()).unwrap();
+    let (target, _discovery, mut forwarder) = start_with_one_target(|_| OK);
+    // Nothing but its own record follows, since its destination has no endpoint.
+    let cut_short = fee_message("cut-short").to(2).with_body(record.repeat(60_000 / record.len()));
+    assert_eq!(forwarder.submit(&cut_short), 202);
+    forwarder.kill();
+    let mut log = fs::read(forwarder.write_ahead_log_path()).unwrap();
+    log.truncate(log.len() - 3);
+    fs::write(forwarder.write_ahead_log_path(), log).unwrap();
+    for id in ["first", "second"] {
+        forwarder.restart();
+        assert_eq!(forwarder.submit(&fee_message(id)), 202);
+        wait_until("the new message is sent", || target.message_ids().contains(&id.to_string()));
+        forwarder.kill();
+    }
+    assert_eq!(target.message_ids(), ["first", "second"]);
+}
