Write-ahead log: count the messages of a round that have no records yet

What was at stake: messages that arrive together were each given the same free space, so that the log went beyond the disk limit of the settings.

Cause: the space for a message was compared with the records of the log; those of the same round are written at its end.

Evidence: messages_of_one_round_leave_room_for_a_compaction failed before: the log held 840,538 bytes, and a compaction needs it to stay below half of 1,000,000.

Fix: what the messages of the round may take up counts with the one that is checked.

--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -173,6 +173,8 @@
     messages: BTreeMap<u64, HeldMessage>,
     /// Messages submitted in this round whose clients still wait for a response.
     undecided: Vec<u64>,
+    /// Bytes of the write-ahead log that those may take up, which has no records of them yet.
+    undecided_log_bytes: usize,
     /// Messages with a pending send that has to wait.
     waiting_sends: BTreeSet<u64>,
     /// Undelivered messages whose notices are not acknowledged yet, and those of them that are to be sent
@@ -326,6 +328,7 @@
             request_history: RequestHistory::new((max_log_bytes / ENDED_REQUESTS_DIVISOR) as usize),
             messages: BTreeMap::new(),
             undecided: Vec::new(),
+            undecided_log_bytes: 0,
             waiting_sends: BTreeSet::new(),
             pending_notices: BTreeMap::new(),
             unsent_notices: BTreeSet::new(),
--- a/src/bin/foldtrack/node/acceptance.rs
+++ b/src/bin/foldtrack/node/acceptance.rs
@@ -11,7 +11,8 @@
             return self.answer_repeated_request(previous, reply);
         }
         let full = self.messages.len() >= self.settings.settings.max_held as usize;
-        if full || !self.write_ahead_log.has_space_for(message.log_bytes()) {
+        let log_bytes = self.undecided_log_bytes + message.log_bytes();
+        if full || !self.write_ahead_log.has_space_for(self.undecided.len() + 1, log_bytes) {
             let reason = if full { RefusalReason::TooManyHeld } else { RefusalReason::NoLogSpace };
             self.log_refusal(&message.id, reason);
             self.metrics.record_result(message.class, MessageResult::Shed);
@@ -41,6 +42,7 @@
             },
         );
         self.undecided.push(id);
+        self.undecided_log_bytes = log_bytes;
         self.notify_policy(event);
     }
 
@@ -83,6 +85,7 @@
     /// Accepts the submitted messages that the policy has not refused. Each is recorded in the write-ahead
     /// log before the response is sent.
     pub(super) fn respond_to_clients(&mut self) {
+        self.undecided_log_bytes = 0;
         for number in std::mem::take(&mut self.undecided) {
             let Some(held) = self.messages.get_mut(&number) else { continue };
             let Acceptance::Undecided(replies) =
--- a/src/bin/foldtrack/node_tests.rs
+++ b/src/bin/foldtrack/node_tests.rs
@@ -5,12 +5,13 @@
 use tempfile::TempDir;
 
 const MILLISECOND: Micros = 1_000;
+const DISK_BYTES: u64 = 1_000_000;
 
 /// A node and the events that are reported to it.
 struct TestNode {
     node: Node,
     receiver: UnboundedReceiver<NodeEvent>,
-    _directory: TempDir,
+    directory: TempDir,
 }
 
 impl TestNode {
@@ -32,7 +33,7 @@
             state_directory: directory.path().into(),
             seed: 1,
             max_sockets: 64,
-            disk_bytes: 1_000_000,
+            disk_bytes: DISK_BYTES,
             memory_bytes: 32_000_000,
             known_endpoints: endpoint_list(1, endpoint_state),
             settings: Arc::new(serde_json::from_value(settings).unwrap()),
@@ -40,7 +41,7 @@
         let (events, receiver) = events::channel();
         let lock = LogLock::try_acquire(directory.path()).unwrap().unwrap();
         let node = Node::restore_from_log(&config, &events, lock).unwrap();
-        TestNode { node, receiver, _directory: directory }
+        TestNode { node, receiver, directory }
     }
 
     /// Handles what has been reported since the last round.
@@ -49,9 +50,9 @@
         self.node.run_round(&mut batch);
     }
 
-    /// Submits a message under the one order key, and returns the response that accepts it, which is not written yet.
-    fn submit(&mut self, id: &str, time_left: Micros) -> ResponseGuard {
-        let message = Message {
+    /// A message under the one order key.
+    fn message(&self, id: &str, time_left: Micros) -> Message {
+        Message {
             id: id.into(),
             class: 0,
             destination: 1,
@@ -60,7 +61,12 @@
             retry_header: None,
             expires_at: self.node.clock.now() + time_left,
             body: "x".into(),
-        };
+        }
+    }
+
+    /// Submits a message, and returns the response that accepts it, which is not written yet.
+    fn submit(&mut self, id: &str, time_left: Micros) -> ResponseGuard {
+        let message = self.message(id, time_left);
         let (reply, mut response) = oneshot::channel();
         self.node.submit(Arc::new(message), UNKNOWN_CLIENT, reply);
         self.run_round();
@@ -120,3 +126,26 @@
     assert!(test.node.messages.is_empty() && test.node.waiting_sends.is_empty());
     assert_eq!(test.node.pending_notices.len(), 1);
 }
+
+impl TestNode {
+    /// Submits 16 such messages in one round, more than the write-ahead log has space for. Returns the size of the log.
+    fn fill_log_in_one_round(&mut self, retry_header: Option<String>, body: &'static [u8]) -> u64 {
+        let mut responses = Vec::new();
+        for number in 0..16 {
+            let message = self.message(&format!("m{number}"), 9_000 * MILLISECOND);
+            let message = Message { retry_header: retry_header.clone(), body: body.into(), ..message };
+            let (reply, response) = oneshot::channel();
+            self.node.submit(Arc::new(message), UNKNOWN_CLIENT, reply);
+            responses.push(response);
+        }
+        self.run_round();
+        std::fs::metadata(self.directory.path().join("journal")).unwrap().len()
+    }
+}
+
+/// Guards against messages of one round that were each given the same free space of the write-ahead log.
+#[tokio::test(start_paused = true)]
+async fn messages_of_one_round_leave_room_for_a_compaction() {
+    let log_bytes = TestNode::new("leaving").fill_log_in_one_round(None, &[b'x'; 60_000]);
+    assert!(log_bytes > 0 && 2 * log_bytes <= DISK_BYTES, "{log_bytes} of {DISK_BYTES} bytes");
+}
--- a/src/bin/foldtrack/write_ahead_log.rs
+++ b/src/bin/foldtrack/write_ahead_log.rs
@@ -194,11 +194,11 @@
         Ok((log, restored))
     }
 
-    /// Whether a message of about this size can be accepted, with all records that it may need. The live frames must
-    /// fit twice: a compaction has them both in the old and in the new file.
-    pub fn has_space_for(&self, size: usize) -> bool {
-        let messages = self.live_frames.len() as u64 + 1;
-        2 * (self.live_bytes + size as u64 + messages * self.reserve_per_message) + SLACK_BYTES
+    /// Whether this many further messages can be accepted, which take up at most `bytes` together, with all records that
+    /// they may need. The live frames must fit twice: a compaction has them both in the old and in the new file.
+    pub fn has_space_for(&self, messages: usize, bytes: usize) -> bool {
+        let messages = (self.live_frames.len() + messages) as u64;
+        2 * (self.live_bytes + bytes as u64 + messages * self.reserve_per_message) + SLACK_BYTES
             <= self.capacity
     }
 
--- a/src/bin/foldtrack/write_ahead_log_tests.rs
+++ b/src/bin/foldtrack/write_ahead_log_tests.rs
@@ -28,7 +28,7 @@
     let directory = tempfile::tempdir().unwrap();
     let (mut log, _) = open(directory.path());
     let mut accepted_count = 0;
-    while log.has_space_for(200) {
+    while log.has_space_for(1, 200) {
         accepted_count += 1;
         log.append(accepted_count, &accepted(200)).unwrap();
     }
@@ -55,7 +55,7 @@
             assert_eq!(log.length, fs::metadata(&log.path).unwrap().len());
         };
         let mut accepted_count = 0;
-        while log.has_space_for(body + 128) {
+        while log.has_space_for(1, body + 128) {
             accepted_count += 1;
             append(&mut log, accepted_count, &accepted(body));
         }
