Calls: a response that breaks off is no proof that the call did not run

What callers saw: a message of effect once ran twice.

Cause: the outcome was that of the status as soon as the head had arrived. That the body broke off was counted and changed nothing.

Fix: where a head would prove that the call has not run or that its message is over, the body is read within the time of the call. If it cannot be read whole, the call may have run. 200 counts from its first line as before, and a wait from its head. What a head says is read in a module of its own.

--- a/src/bin/foldtrack/calls.rs
+++ b/src/bin/foldtrack/calls.rs
@@ -3,11 +3,12 @@
 use crate::connection::{HttpConnection, RequestBody, SendError};
 use crate::events::{CallEnd, EventSender, NodeEvent};
 use crate::exchange::Exchange;
+use crate::http_body::BodyError;
 use crate::message::Message;
-use hatchline::{LimitReport, Outcome, TargetId};
-use hyper::body::Incoming;
-use hyper::header::{HeaderMap, CONNECTION, CONTENT_TYPE, HOST};
-use hyper::{Method, Request, Response, StatusCode};
+use crate::response_head::ResponseHead;
+use hatchline::{Outcome, TargetId};
+use hyper::header::{CONTENT_TYPE, HOST};
+use hyper::{Method, Request};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -15,8 +16,8 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep_until, timeout, Instant};
 
-/// The status line and headers of a response decide its outcome. If the body does not arrive within this time and
-/// size, the connection is closed instead of being used again.
+/// Where the outcome does not depend on the body of the response: if the body does not arrive within this time, the
+/// connection is closed instead of being used again.
 const BODY_TIMEOUT: Duration = Duration::from_millis(20);
 const MAX_BODY_BYTES: usize = 64 * 1024;
 
@@ -127,13 +128,27 @@
         connection.prepare().await;
         let body = connection.request_body(&message);
         let request = build_request(&message, body, address, timeout_at).ok_or(Outcome::NotSent)?;
-        match connection.send(request).await {
-            Ok(response) => Ok((connection, response)),
+        let response = connection.send(request).await.map_err(|error| match error {
             // A pooled connection that the endpoint has closed, or sent more on, says nothing about its health.
-            Err(SendError::NotWritten) if reused => Err(Outcome::NotSent),
-            Err(SendError::NotWritten) => Err(Outcome::ConnectFailed),
-            Err(SendError::ConnectionLost) => Err(Outcome::Reset),
+            SendError::NotWritten if reused => Outcome::NotSent,
+            SendError::NotWritten => Outcome::ConnectFailed,
+            SendError::ConnectionLost => Outcome::Reset,
+        })?;
+        let (parts, body) = response.into_parts();
+        let head = ResponseHead::read(&parts, reads_limit_reports);
+        // Holds whatever follows: it only holds back further calls.
+        end.wait_until = head.wait_until;
+        end.response_truncated = true;
+        if !head.outcome.never_ran() {
+            return Ok((connection, head, Some(body)));
         }
+        // A response that cannot be read is no proof that the call did not run.
+        connection.read_body(body, MAX_BODY_BYTES).await.map_err(|error| match error {
+            BodyError::Interrupted => Outcome::Reset,
+            BodyError::TooLong | BodyError::OutOfMemory => Outcome::Error,
+        })?;
+        end.response_truncated = false;
+        Ok((connection, head, None))
     };
     let result = tokio::select! {
         biased;
@@ -143,18 +158,18 @@
     };
     let request_begun = exchange.as_ref().is_some_and(Exchange::request_begun);
     match result {
-        Ok((mut connection, response)) => {
-            read_response_head(&mut end, &response, reads_limit_reports);
-            if !reused && rejects_connection(&end, &response) {
-                end.outcome = Outcome::TooManyConnections;
-            }
-            end.response_truncated = true;
+        Ok((mut connection, head, unread_body)) => {
+            let rejects_connection = !reused && head.rejects_connection();
+            end.outcome = if rejects_connection { Outcome::TooManyConnections } else { head.outcome };
+            (end.completes_message, end.limit_report) = (head.completes_message, head.limit_report);
             let read = async {
-                let body = connection.read_body(response.into_body(), MAX_BODY_BYTES).await;
-                end.response_truncated = body.is_err();
-                body.is_ok() && connection.is_ready_again().await
+                if let Some(body) = unread_body {
+                    connection.read_body(body, MAX_BODY_BYTES).await.ok()?;
+                    end.response_truncated = false;
+                }
+                connection.is_ready_again().await.then_some(())
             };
-            let reusable = timeout(BODY_TIMEOUT, read).await.unwrap_or(false);
+            let reusable = timeout(BODY_TIMEOUT, read).await.is_ok_and(|ready| ready.is_some());
             end.connection = reusable.then_some(connection);
         }
         // The status line says 200, but the response cannot be read or is incomplete: the message is delivered.
@@ -188,50 +203,6 @@
     request.body(body).ok()
 }
 
-/// Whether the endpoint rejected the new connection rather than the call: at its connection limit an endpoint rejects
-/// the first request and closes at once. An endpoint above its rate limit keeps the connection open or requests a
-/// wait.
-fn rejects_connection(end: &CallEnd, response: &Response<Incoming>) -> bool {
-    let closes =
-        header_text(response.headers(), CONNECTION.as_str()).is_some_and(|v| v.eq_ignore_ascii_case("close"));
-    closes && end.outcome == Outcome::Rejected && end.wait_until.is_none()
-}
-
-/// Determines the outcome from the status and headers of the response, by the table of the protocol. After any other
-/// status the call may have run.
-fn read_response_head(end: &mut CallEnd, response: &Response<Incoming>, reads_limit_reports: bool) {
-    let headers = response.headers();
-    end.outcome = match response.status() {
-        StatusCode::OK => Outcome::Ok,
-        StatusCode::TOO_MANY_REQUESTS => Outcome::Rejected,
-        StatusCode::SERVICE_UNAVAILABLE if headers.contains_key("X-Line-Busy") => Outcome::NotSent,
-        StatusCode::SERVICE_UNAVAILABLE => Outcome::Rejected,
-        StatusCode::GATEWAY_TIMEOUT | StatusCode::GONE => Outcome::NotSent,
-        _ => Outcome::Error,
-    };
-    end.completes_message = matches!(response.status(), StatusCode::OK | StatusCode::GONE);
-    if end.outcome == Outcome::Rejected {
-        let wait = header_text(headers, "X-Come-Back-Ms").and_then(|ms| ms.trim().parse::<f64>().ok());
-        let wait = wait.and_then(|ms| Duration::try_from_secs_f64(ms / 1000.0).ok());
-        end.wait_until = wait.and_then(|w| Instant::now().checked_add(w));
-    }
-    end.limit_report =
-        header_text(headers, "X-Load").filter(|_| reads_limit_reports).and_then(parse_limit_report);
-}
-
-fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name)?.to_str().ok()
-}
-
-fn parse_limit_report(text: &str) -> Option<LimitReport> {
-    let value = |name: &str| {
-        let pairs = text.split(',').filter_map(|pair| pair.split_once('='));
-        let mut named = pairs.filter(|(n, _)| n.trim() == name);
-        named.next()?.1.trim().parse::<f64>().ok().filter(|v| v.is_finite())
-    };
-    Some(LimitReport { share_left: value("x0")?, rate: value("x1")? })
-}
-
 #[cfg(test)]
 #[path = "calls_tests.rs"]
 mod tests;
--- a/src/bin/foldtrack/calls_tests.rs
+++ b/src/bin/foldtrack/calls_tests.rs
@@ -131,3 +131,68 @@
     assert!(end.connection.is_none(), "the connection is used again");
     drop(responds.await.unwrap());
 }
+
+/// The end of a call whose response comes in two parts, 60 ms apart.
+async fn end_with_response_in_two_parts(first: &'static [u8], rest: &'static [u8]) -> CallEnd {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (connection, mut endpoint) = kept_connection(&listener).await;
+    let responds = spawn_blocking(move || {
+        assert!(endpoint.read(&mut [0; 1024]).unwrap() > 0);
+        endpoint.write_all(first).unwrap();
+        std::thread::sleep(3 * BODY_TIMEOUT);
+        endpoint.write_all(rest).unwrap();
+    });
+    let end = make_call_on(listener.local_addr().unwrap(), connection).await;
+    responds.await.unwrap();
+    end
+}
+
+/// Guards against a response that breaks off in its body and is taken for proof that the call has not run: an unsafe
+/// message was sent again. The wait that its head asks for holds all the same.
+#[tokio::test]
+async fn a_response_that_breaks_off_is_no_proof_that_the_call_did_not_run() {
+    let cut_off: [&[u8]; 6] = [
+        b"HTTP/1.1 503 Status\r\nContent-Length: 40\r\n\r\n{\"err",
+        b"HTTP/1.1 503 Status\r\nConnection: close\r\nContent-Length: 40\r\n\r\n{\"err",
+        b"HTTP/1.1 503 Status\r\nX-Line-Busy: 1\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n{\"err",
+        b"HTTP/1.1 504 Status\r\nContent-Length: 40\r\n\r\n",
+        b"HTTP/1.1 410 Status\r\nContent-Length: 40\r\n\r\n{\"err",
+        b"HTTP/1.1 503 Status\r\nTransfer-Encoding: chunked\r\n\r\nno chunk\r\n",
+    ];
+    for response in cut_off {
+        let end = end_with_response_in_two_parts(response, b"").await;
+        let text = String::from_utf8_lossy(response);
+        assert!(!end.outcome.never_ran() && !end.completes_message, "{:?}: {text}", end.outcome);
+        assert!(end.response_truncated && end.connection.is_none(), "{text}");
+    }
+    let wait: &[u8] = b"HTTP/1.1 429 Status\r\nX-Come-Back-Ms: 900\r\nContent-Length: 40\r\n\r\n{\"err";
+    let end = end_with_response_in_two_parts(wait, b"").await;
+    assert!(!end.outcome.never_ran() && end.wait_until.is_some(), "{:?}", end.outcome);
+    let too_long = format!("HTTP/1.1 503 Status\r\nContent-Length: 70000\r\n\r\n{}", "x".repeat(70_000));
+    let end = end_with_response_in_two_parts(too_long.leak().as_bytes(), b"").await;
+    assert_eq!((end.outcome, end.completes_message), (Outcome::Error, false));
+}
+
+/// Guards against taking a response whose body comes late for one that breaks off.
+#[tokio::test]
+async fn a_response_whose_body_comes_late_is_proof_that_the_call_did_not_run() {
+    let head = b"HTTP/1.1 503 Status\r\nContent-Length: 5\r\n\r\n{";
+    let end = end_with_response_in_two_parts(head, b"err}").await;
+    assert_eq!((end.outcome, end.response_truncated), (Outcome::Rejected, false));
+}
+
+/// Guards against a call that outlasts its time, since the body of its response does not end.
+#[tokio::test]
+async fn a_call_whose_response_does_not_end_times_out() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (connection, mut endpoint) = kept_connection(&listener).await;
+    let responds = spawn_blocking(move || {
+        assert!(endpoint.read(&mut [0; 1024]).unwrap() > 0);
+        endpoint.write_all(b"HTTP/1.1 503 Status\r\nContent-Length: 5\r\n\r\n{").unwrap();
+        endpoint
+    });
+    let timeout_at = Instant::now() + Duration::from_millis(200);
+    let end = end_of(Call { timeout_at, ..call(listener.local_addr().unwrap(), connection) }).await;
+    assert_eq!((end.outcome, end.completes_message), (Outcome::TimedOut, false));
+    drop(responds.await.unwrap());
+}
--- a/src/bin/foldtrack/main.rs
+++ b/src/bin/foldtrack/main.rs
@@ -34,6 +34,7 @@
 mod overload;
 mod report_client;
 mod request_framing;
+mod response_head;
 mod streams;
 mod submission;
 mod unread_responses;
