Calls: keep the numbers in the head of a response within range

What was at stake: a wait that an endpoint asks for was lost if it did not fit the clock, and the next call followed at once.

Cause: X-Come-Back-Ms and X-Load were taken as they came; sums with times of the clock went around.

Fix: a wait counts up to a year, a share from 0 to 1, a rate up to 1e9 calls a second. That a share below 0 turns the rate limit around is from reading; the unit test failed to compile before, the function being new.

--- a/src/bin/foldtrack/response_head.rs
+++ b/src/bin/foldtrack/response_head.rs
@@ -7,6 +7,11 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Longest wait, beyond the deadline of any message: sums with times of the clock stay within its range.
+const MAX_WAIT: Duration = Duration::from_secs(365 * 24 * 3600);
+/// Highest limit that a report can name.
+const MAX_CALLS_PER_SECOND: f64 = 1e9;
+
 /// The head of a response. What it says about the call holds only once the response is known to be whole, but for a
 /// status of 200 and the wait.
 #[derive(Debug)]
@@ -57,16 +62,24 @@
     headers.get(name)?.to_str().ok()
 }
 
+/// Parses a wait. One that is too long to be kept counts as [`MAX_WAIT`].
 fn parse_wait(milliseconds: &str) -> Option<Duration> {
-    let milliseconds = milliseconds.trim().parse::<f64>().ok()?;
-    Duration::try_from_secs_f64(milliseconds / 1000.0).ok()
+    let milliseconds = milliseconds.trim().parse::<f64>().ok().filter(|number| !number.is_nan())?;
+    let seconds = (milliseconds / 1000.0).min(MAX_WAIT.as_secs_f64());
+    Duration::try_from_secs_f64(seconds).ok()
 }
 
+/// Parses a report. Numbers out of range count as the nearest in range.
 fn parse_limit_report(text: &str) -> Option<LimitReport> {
     let value = |name: &str| {
         let pairs = text.split(',').filter_map(|pair| pair.split_once('='));
         let mut named = pairs.filter(|(n, _)| n.trim() == name);
         named.next()?.1.trim().parse::<f64>().ok().filter(|v| v.is_finite())
     };
-    Some(LimitReport { share_left: value("x0")?, rate: value("x1")? })
+    let (share_left, rate) = (value("x0")?.clamp(0.0, 1.0), value("x1")?.clamp(0.0, MAX_CALLS_PER_SECOND));
+    Some(LimitReport { share_left, rate })
 }
+
+#[cfg(test)]
+#[path = "response_head_tests.rs"]
+mod tests;
--- a/tests/forwarder/broken_responses.rs
+++ b/tests/forwarder/broken_responses.rs
@@ -43,3 +43,17 @@
         assert_eq!(target.message_ids(), ["m1", "m2"]);
     }
 }
+
+/// Guards against a wait that does not fit the clock: it was lost, and the next call followed at once.
+#[test]
+fn a_wait_of_any_length_is_kept() {
+    for wait in ["1e19", "1e21", "18446744073709551615", "1e300", "inf"] {
+        let header: &'static str = format!("X-Come-Back-Ms: {wait}\r\n").leak();
+        let (target, discovery, mut forwarder) =
+            start_with_one_target(move |_| Response::Status(429, header));
+        assert_eq!(forwarder.submit(&fee_message("m1").with_deadline_ms(1_500)), 202);
+        wait_until("the message ends", || discovery.has_notice("m1", "handed_back"));
+        assert_eq!(target.message_ids(), ["m1"], "a wait of {wait} ms is not kept");
+        assert!(forwarder.is_running(), "a wait of {wait} ms ends the process");
+    }
+}
