Reports: bound them in bytes, and let refused ones hold up no others

What callers saw: messages that were accepted and not delivered got no notice.

Cause: 64 notices went into a report, whatever their length. Discovery refuses a body of over 64 KiB, and the report came again as it was for good, in one of the eight places for reports in flight.

Both new tests with real processes failed before: reports with long ids, and short ids that discovery refuses in reports with others.

Fix: a report takes what fits into 64 KiB. One that is refused gives up its place, and its notices go again alone; what is refused alone goes again every 100 ms, one at a time, while no other waits.

The discovery server of the tests now refuses what the protocol says is too long. The tests of the report client ask for the end of a report, which names its messages as before.

--- a/src/bin/foldtrack/events.rs
+++ b/src/bin/foldtrack/events.rs
@@ -3,6 +3,7 @@
 
 use crate::connection::HttpConnection;
 use crate::message::Message;
+use crate::report_client::ReportEnd;
 use hatchline::discovery::list::ServerList;
 use hatchline::{ClientId, LimitReport, Outcome, TargetId};
 use hyper::StatusCode;
@@ -100,10 +101,8 @@
         /// Dropped once the list is in force and outlasts the process.
         handled: oneshot::Sender<()>,
     },
-    /// Discovery has acknowledged the notices of these messages.
-    NoticesAcknowledged {
-        numbers: Vec<u64>,
-    },
+    /// Discovery has acknowledged or refused a report.
+    ReportEnded(ReportEnd),
     /// The address of discovery has changed.
     DiscoveryAddress(SocketAddr),
     /// The connection of a call is established: asks whether the call may still be sent.
--- a/src/bin/foldtrack/main.rs
+++ b/src/bin/foldtrack/main.rs
@@ -31,6 +31,7 @@
 mod message;
 mod metrics;
 mod node;
+mod notice_queue;
 mod overload;
 mod report_client;
 mod request_framing;
--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -29,8 +29,9 @@
 use crate::memory_usage::MemoryUsage;
 use crate::message::{order_key_hash, Message};
 use crate::metrics::{MessageResult, Metrics};
+use crate::notice_queue::NoticeQueue;
 use crate::overload::OverloadMonitor;
-use crate::report_client::ReportClient;
+use crate::report_client::{ReportClient, ReportEnd};
 use crate::unread_responses::UnreadResponses;
 use crate::write_ahead_log::{
     self, ExecutionStatus, LogRecord, NonDeliveryNotice, RecordedEnd, RestoredLog, RestoredMessage,
@@ -70,7 +71,6 @@
 /// latest.
 const ACCEPT_AFTER_TERMINATE: Duration = Duration::from_millis(500);
 const TERMINATE_TIMEOUT: Duration = Duration::from_millis(3300);
-const MAX_NOTICES_PER_REPORT: usize = 64;
 /// A send that has been pending for longer than this is returned to the policy, which decides again.
 const MAX_PENDING_SEND_AGE: Micros = 50_000;
 /// Upper bound on the delay of a timer: the runtime's timers fire up to 2 ms late, by their own granularity
@@ -177,10 +177,9 @@
     undecided_log_bytes: usize,
     /// Messages with a pending send that has to wait.
     waiting_sends: BTreeSet<u64>,
-    /// Undelivered messages whose notices are not acknowledged yet, and those of them that are to be sent
-    /// now.
+    /// Undelivered messages whose notices are not acknowledged yet, and those of them that are to be sent.
     pending_notices: BTreeMap<u64, PendingNotice>,
-    unsent_notices: BTreeSet<u64>,
+    notice_queue: NoticeQueue,
     report_client: ReportClient,
     /// By message number and attempt.
     calls: BTreeMap<(u64, u32), InFlightCall>,
@@ -286,7 +285,7 @@
         tokio::select! {
             biased;
             // Polled first, since this writes the notices that the round has issued.
-            numbers = node.report_client.acknowledged() => batch.push(NodeEvent::NoticesAcknowledged { numbers }),
+            end = node.report_client.next_end() => batch.push(NodeEvent::ReportEnded(end)),
             _ = receiver.recv_many(&mut batch, MAX_EVENTS_PER_ROUND) => {}
             () = sleep_until(wake) => {}
         }
@@ -331,7 +330,7 @@
             undecided_log_bytes: 0,
             waiting_sends: BTreeSet::new(),
             pending_notices: BTreeMap::new(),
-            unsent_notices: BTreeSet::new(),
+            notice_queue: NoticeQueue::default(),
             calls: BTreeMap::new(),
             idle_connections: IdleConnectionPool::new(
                 idle_timeout,
@@ -462,7 +461,7 @@
                 self.update_endpoints(list, kind);
                 drop(handled);
             }
-            NodeEvent::NoticesAcknowledged { numbers } => self.notices_acknowledged(numbers),
+            NodeEvent::ReportEnded(end) => self.report_ended(end),
             NodeEvent::Connected { number, attempt, target, proceed } => {
                 let may_send = self.policy.may_still_send(self.clock.now(), number, target);
                 let _ = proceed.send(may_send && self.log_attempt_start(number, attempt));
@@ -506,7 +505,7 @@
             let ended = EndedRequest { client: UNKNOWN_CLIENT, message: number, deadline, end };
             self.record_request_end(&pending.id, ended);
             self.pending_notices.insert(number, pending);
-            self.unsent_notices.insert(number);
+            self.notice_queue.push(number);
             return;
         }
         let message = Message::from_accepted(accepted, &self.settings, &self.clock);
@@ -634,8 +633,8 @@
         at.elapsed() >= TERMINATE_TIMEOUT || idle && at.elapsed() >= 2 * ACCEPT_AFTER_TERMINATE
     }
 
-    /// When the next round is due at the latest: at the next timer or step of the shutdown, or for the periodic
-    /// maintenance if there is neither.
+    /// When the next round is due at the latest: at the next timer, refused notice or step of the shutdown, or for the
+    /// periodic maintenance if there is none.
     fn next_wake(&self) -> Instant {
         let timer = self.timers.first().map(|(at, _)| self.clock.instant_at(*at));
         let stop = self.terminated_at.map(|at| {
@@ -643,7 +642,13 @@
                 [at + ACCEPT_AFTER_TERMINATE, at + 2 * ACCEPT_AFTER_TERMINATE, at + TERMINATE_TIMEOUT];
             steps.into_iter().find(|s| *s > Instant::now()).unwrap_or(at)
         });
-        [timer, stop].into_iter().flatten().min().unwrap_or_else(|| Instant::now() + MAINTENANCE_INTERVAL)
+        // Without capacity the end of a report comes first.
+        let notice = self.notice_queue.next_retry_at().filter(|_| self.report_client.has_capacity());
+        [timer, stop, notice]
+            .into_iter()
+            .flatten()
+            .min()
+            .unwrap_or_else(|| Instant::now() + MAINTENANCE_INTERVAL)
     }
 }
 
--- a/src/bin/foldtrack/node/acceptance.rs
+++ b/src/bin/foldtrack/node/acceptance.rs
@@ -149,7 +149,7 @@
             return;
         }
         self.append_record(number, &LogRecord::Completed);
-        self.unsent_notices.remove(&number);
+        self.notice_queue.remove(number);
         if let Some(PendingNotice { id, order_key, .. }) = self.pending_notices.remove(&number) {
             self.request_history.forget(&id);
             self.start_send_waiting_for(order_key);
--- a/src/bin/foldtrack/node/notices.rs
+++ b/src/bin/foldtrack/node/notices.rs
@@ -39,7 +39,7 @@
         let (client, deadline, end) = (held.client, pending.expires_at, request_end(notice));
         self.record_request_end(&pending.id, EndedRequest { client, message: number, deadline, end });
         self.pending_notices.insert(number, pending);
-        self.unsent_notices.insert(number);
+        self.notice_queue.push(number);
     }
 
     pub(super) fn log_refusal(&mut self, id: &str, reason: RefusalReason) {
@@ -48,31 +48,35 @@
     }
 
     pub(super) fn send_notices(&mut self) {
-        while !self.unsent_notices.is_empty() && self.report_client.has_capacity() {
-            let numbers: Vec<u64> =
-                self.unsent_notices.iter().copied().take(MAX_NOTICES_PER_REPORT).collect();
-            let mut lines = String::new();
-            for number in &numbers {
-                self.unsent_notices.remove(number);
-                let PendingNotice { id, notice, .. } = &self.pending_notices[number];
-                let line = match notice {
-                    NonDeliveryNotice::GivenUp => json!({"message": id, "outcome": "given_up"}),
-                    NonDeliveryNotice::HandedBack { retry_in_ms: 0 } => {
-                        json!({"message": id, "outcome": "handed_back"})
-                    }
-                    NonDeliveryNotice::HandedBack { retry_in_ms } => {
-                        json!({"message": id, "outcome": "handed_back", "retry_in_ms": retry_in_ms})
-                    }
-                };
-                lines.push_str(&format!("{line}\n"));
+        let line = |number| {
+            let PendingNotice { id, notice, .. } = &self.pending_notices[&number];
+            notice_line(id, *notice)
+        };
+        while self.report_client.has_capacity() {
+            let Some(report) = self.notice_queue.next_report(Instant::now(), line) else { return };
+            self.report_client.send(report);
+        }
+    }
+
+    pub(super) fn report_ended(&mut self, end: ReportEnd) {
+        match end {
+            ReportEnd::Acknowledged(numbers) => {
+                self.notice_queue.acknowledged(&numbers);
+                self.notices_acknowledged(numbers);
+            }
+            ReportEnd::Refused(numbers) => {
+                self.notice_queue.refused(&numbers, Instant::now());
+                // Notices may have been taken back while they were sent.
+                for number in numbers.iter().filter(|number| !self.pending_notices.contains_key(number)) {
+                    self.notice_queue.remove(*number);
+                }
             }
-            self.report_client.send(lines, numbers);
         }
     }
 
     /// Completes the messages whose notices discovery has acknowledged, and starts the sends that waited for
     /// that.
-    pub(super) fn notices_acknowledged(&mut self, numbers: Vec<u64>) {
+    fn notices_acknowledged(&mut self, numbers: Vec<u64>) {
         for number in numbers {
             let Some(PendingNotice { id, order_key, expires_at, notice, .. }) =
                 self.pending_notices.remove(&number)
@@ -84,3 +88,15 @@
         }
     }
 }
+
+/// The line of a notice in a report.
+fn notice_line(id: &str, notice: NonDeliveryNotice) -> String {
+    let line = match notice {
+        NonDeliveryNotice::GivenUp => json!({"message": id, "outcome": "given_up"}),
+        NonDeliveryNotice::HandedBack { retry_in_ms: 0 } => json!({"message": id, "outcome": "handed_back"}),
+        NonDeliveryNotice::HandedBack { retry_in_ms } => {
+            json!({"message": id, "outcome": "handed_back", "retry_in_ms": retry_in_ms})
+        }
+    };
+    format!("{line}\n")
+}
--- a/src/bin/foldtrack/report_client.rs
+++ b/src/bin/foldtrack/report_client.rs
@@ -1,7 +1,8 @@
-//! Reports undelivered messages to discovery, until each notice is acknowledged.
+//! Reports undelivered messages to discovery, until each report is acknowledged or refused.
 
 use crate::exchange::Exchange;
 use crate::http_body::{read_to_end, Unshared};
+use crate::notice_queue::Report;
 use crate::streams::ObservedStream;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -27,7 +28,7 @@
 const MAX_REPORT_TIMEOUT: Duration = Duration::from_millis(800);
 /// Maximum number of reports in flight.
 const MAX_REPORTS_IN_FLIGHT: usize = 8;
-/// Delay before a report that failed is sent again.
+/// Delay before a report whose connection was lost is sent again.
 const REPORT_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Longest response body that is read; the status alone is the acknowledgement.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024;
@@ -89,10 +90,18 @@
     idle_connection.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// How a report has ended, with the numbers of its messages.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum ReportEnd {
+    Acknowledged(Vec<u64>),
+    /// Discovery has responded with an error, and would do so again if it is for what the report holds.
+    Refused(Vec<u64>),
+}
+
 /// Reports in flight. They are polled by the node's own task, so that each is written in the turn in which it is
 /// decided.
 pub(crate) struct ReportClient {
-    in_flight: Vec<Pin<Box<dyn Future<Output = Vec<u64>> + Send>>>,
+    in_flight: Vec<Pin<Box<dyn Future<Output = ReportEnd> + Send>>>,
     idle_connection: IdleConnection,
     discovery_address: watch::Receiver<SocketAddr>,
 }
@@ -107,25 +116,26 @@
         self.in_flight.len() < MAX_REPORTS_IN_FLIGHT
     }
 
-    /// Sends notices, one JSON object per line, until they are acknowledged. `numbers` are the numbers of their
-    /// messages.
-    pub fn send(&mut self, lines: String, numbers: Vec<u64>) {
+    /// Sends a report until it is acknowledged or refused.
+    pub fn send(&mut self, report: Report) {
         let (idle_connection, discovery_address) =
             (self.idle_connection.clone(), self.discovery_address.clone());
         self.in_flight.push(Box::pin(async move {
-            send_report(Bytes::from(lines), numbers.len(), idle_connection, discovery_address).await;
-            numbers
+            let (lines, count) = (Bytes::from(report.lines), report.numbers.len());
+            match send_report(lines, count, idle_connection, discovery_address).await {
+                StatusCode::NO_CONTENT => ReportEnd::Acknowledged(report.numbers),
+                _ => ReportEnd::Refused(report.numbers),
+            }
         }));
     }
 
-    /// Waits for the next report to be acknowledged and returns the numbers of its messages. All reports make
-    /// progress while this is polled.
-    pub async fn acknowledged(&mut self) -> Vec<u64> {
+    /// Waits for the end of the next report. All reports make progress while this is polled.
+    pub async fn next_end(&mut self) -> ReportEnd {
         poll_fn(|cx| {
             for at in 0..self.in_flight.len() {
-                if let Poll::Ready(numbers) = self.in_flight[at].as_mut().poll(cx) {
+                if let Poll::Ready(end) = self.in_flight[at].as_mut().poll(cx) {
                     drop(self.in_flight.swap_remove(at));
-                    return Poll::Ready(numbers);
+                    return Poll::Ready(end);
                 }
             }
             Poll::Pending
@@ -158,23 +168,17 @@
     }
 }
 
-/// Sends a report until it is acknowledged.
+/// Sends a report until there is a response, and returns its status.
 async fn send_report(
     lines: Bytes, count: usize, idle_connection: IdleConnection,
     mut discovery_address: watch::Receiver<SocketAddr>,
-) {
+) -> StatusCode {
     let mut report_timeout = FIRST_REPORT_TIMEOUT;
     loop {
         let address = *discovery_address.borrow_and_update();
         let attempt = async {
             match timeout(report_timeout, post(address, lines.clone(), &idle_connection)).await {
-                Ok(Some(StatusCode::NO_CONTENT)) => return true,
-                Ok(Some(status)) => {
-                    log::warn!(
-                        "reports: {address} has responded {status} to {count} notices; sending them again"
-                    );
-                    sleep(REPORT_RETRY_DELAY).await;
-                }
+                Ok(Some(status)) => return Some(status),
                 Ok(None) => {
                     log::warn!(
                         "reports: connection to {address} lost with {count} notices; sending them again"
@@ -183,11 +187,16 @@
                 }
                 Err(_) => log::warn!("reports: {address} silent about {count} notices; sending them again"),
             }
-            false
+            None
         };
         tokio::select! {
             biased;
-            acknowledged = attempt => if acknowledged { return },
+            status = attempt => if let Some(status) = status {
+                if status != StatusCode::NO_CONTENT {
+                    log::warn!("reports: {address} has responded {status} to {count} notices; each is sent again alone");
+                }
+                return status;
+            },
             // A report that the old address has not acknowledged goes to the new one at once.
             Ok(()) = discovery_address.changed() => continue,
         }
--- a/src/bin/foldtrack/report_client_tests.rs
+++ b/src/bin/foldtrack/report_client_tests.rs
@@ -12,6 +12,11 @@
     (listener, address)
 }
 
+/// A report with one notice.
+fn report(number: u64) -> Report {
+    Report { lines: format!("notice {number}\n"), numbers: vec![number] }
+}
+
 /// Acknowledges the report of each connection that is made.
 async fn acknowledge_all(listener: &TcpListener) {
     let mut connections = Vec::new();
@@ -33,16 +38,16 @@
     let (listener, address) = listen().await;
     let (_discovery, address_receiver) = watch::channel(address);
     let mut reports = ReportClient::new(address_receiver);
-    reports.send("{}\n".into(), vec![7]);
+    reports.send(report(7));
     let discovery_server = async {
         let _silent = listener.accept().await.unwrap();
         acknowledge_all(&listener).await;
     };
     let acknowledged = tokio::select! {
-        acknowledged = timeout(TIMEOUT, reports.acknowledged()) => acknowledged,
+        acknowledged = timeout(TIMEOUT, reports.next_end()) => acknowledged,
         () = discovery_server => unreachable!(),
     };
-    assert_eq!(acknowledged, Ok(vec![7]));
+    assert_eq!(acknowledged, Ok(ReportEnd::Acknowledged(vec![7])));
 }
 
 /// With little CPU time, each handoff from task to task waits for a turn of all ready tasks, which made notices late.
@@ -58,14 +63,14 @@
     let mut discovery_server = listener.accept().unwrap().0;
     discovery_server.set_read_timeout(Some(TIMEOUT)).unwrap();
     for number in [1, 2] {
-        reports.send(format!("notice {number}\n"), vec![number]);
+        reports.send(report(number));
         // One poll is enough: no other task runs before the discovery server reads the report.
-        assert!(pin!(reports.acknowledged()).poll(&mut Context::from_waker(Waker::noop())).is_pending());
+        assert!(pin!(reports.next_end()).poll(&mut Context::from_waker(Waker::noop())).is_pending());
         let mut received = [0; 1024];
         let n = std::io::Read::read(&mut discovery_server, &mut received).expect("a report");
         assert!(String::from_utf8_lossy(&received[..n]).contains(&format!("notice {number}")));
         std::io::Write::write_all(&mut discovery_server, ACKNOWLEDGED).unwrap();
-        assert_eq!(timeout(TIMEOUT, reports.acknowledged()).await, Ok(vec![number]));
+        assert_eq!(timeout(TIMEOUT, reports.next_end()).await, Ok(ReportEnd::Acknowledged(vec![number])));
     }
 }
 
@@ -76,9 +81,9 @@
     let ((_old, old_address), new) = (listen().await, std::net::TcpListener::bind("127.0.0.1:0").unwrap());
     let (discovery, address_receiver) = watch::channel(old_address);
     let mut reports = ReportClient::new(address_receiver);
-    reports.send("{}\n".into(), vec![7]);
+    reports.send(report(7));
     let mut poll_once =
-        || pin!(reports.acknowledged()).poll(&mut Context::from_waker(Waker::noop())).is_pending();
+        || pin!(reports.next_end()).poll(&mut Context::from_waker(Waker::noop())).is_pending();
     assert!(poll_once());
     discovery.send_replace(new.local_addr().unwrap());
     assert!(poll_once());
@@ -101,10 +106,10 @@
     let listener = TcpListener::from_std(listener).unwrap();
     // The copy has arrived, and the runtime has not noticed it yet.
     std::io::Write::write_all(&mut silent_server, ACKNOWLEDGED).unwrap();
-    reports.send("{}\n".into(), vec![7]);
+    reports.send(report(7));
     let accepted = async {
         tokio::select! {
-            _ = reports.acknowledged() => panic!("acknowledged by the second copy"),
+            _ = reports.next_end() => panic!("acknowledged by the second copy"),
             accepted = listener.accept() => accepted.unwrap().0,
         }
     };
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -10,6 +10,7 @@
 mod hot_restart;
 mod log_output;
 mod pipelined_requests;
+mod refused_reports;
 mod repeated_requests;
 mod startup;
 mod unread_responses;
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -205,6 +205,12 @@
     }
 }
 
+/// Whether discovery can read a report: it has at most the 64 KiB of a body, and no id in it says otherwise.
+fn is_readable_report(report: &Request) -> bool {
+    let says_otherwise = |line: &[u8]| String::from_utf8_lossy(line).contains("unreadable");
+    report.body.len() <= 64 * 1024 && !report.body.split(|byte| *byte == b'\n').any(says_otherwise)
+}
+
 /// A discovery server, which also receives the non-delivery notices.
 pub struct DiscoveryServer {
     pub server: Arc<HttpServer>,
@@ -229,6 +235,7 @@
         let rejecting = rejects_notices.clone();
         let server = HttpServer::start(move |request| match request.path.split_once("since=") {
             _ if request.method == "POST" && rejecting.load(Ordering::SeqCst) => Response::Status(503, ""),
+            _ if request.method == "POST" && !is_readable_report(request) => Response::Status(400, ""),
             _ if request.method == "POST" => Response::Status(204, ""),
             None => {
                 let list = shared_list.0.lock().unwrap();
@@ -274,9 +281,8 @@
 
     /// Time of arrival, message id and outcome of each notice received so far, in order.
     pub fn timed_notices(&self) -> Vec<(Instant, String, String)> {
-        let posts = self.server.requests().into_iter().filter(|request| request.method == "POST");
         let mut notices = Vec::new();
-        for post in posts {
+        for post in self.reports() {
             for line in str::from_utf8(&post.body).unwrap().lines() {
                 let notice: Value = serde_json::from_str(line).unwrap();
                 let text = |name: &str| notice[name].as_str().unwrap().to_string();
@@ -286,6 +292,18 @@
         notices
     }
 
+    /// The reports received so far.
+    pub fn reports(&self) -> Vec<Request> {
+        self.server.requests().into_iter().filter(|request| request.method == "POST").collect()
+    }
+
+    /// Whether the notice of this message has come in a report that can be read.
+    pub fn has_read_notice(&self, id: &str) -> bool {
+        let text = format!("\"{id}\"");
+        let mut readable = self.reports().into_iter().filter(is_readable_report);
+        readable.any(|report| String::from_utf8_lossy(&report.body).contains(&text))
+    }
+
     pub fn has_notice(&self, id: &str, outcome: &str) -> bool {
         self.notices().contains(&(id.to_string(), outcome.to_string()))
     }
